Reload the configuration on SIGHUP and move the watch of the inventory

Both programs exited with 129 at the first SIGHUP and the messages they held were lost. At fault: serve registered SIGTERM and SIGINT only, and the inventory knew one address for its life. Now SIGHUP is caught until the process ends; the file is decoded and checked whole; discovery may move, the old watch is kept until the new one's first line. Tests: signals against two listening addresses, moves with a try that gets no answer, a lagging new address, a bad file, what takes a restart.

--- a/cmd/liftgauge/main.go
+++ b/cmd/liftgauge/main.go
@@ -37,9 +37,9 @@
 	var level string
 	cmd := &cobra.Command{
 		Use:   "serve",
-		Short: "Serve jobs until SIGTERM",
+		Short: "Serve jobs until SIGTERM; reload on SIGHUP",
 		Long: "Serve jobs until SIGTERM. The configuration is the JSON file named by LB_CONFIG; LB_NAME, LB_LISTEN and\n" +
-			"LB_DISCOVERY go before what it says.",
+			"LB_DISCOVERY go before what it says. On SIGHUP it is read anew, and its discovery counts.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			c, err := config.Load(os.Getenv)
--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -5,13 +5,16 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"liftgauge/internal/config"
 	"liftgauge/internal/north"
 )
 
@@ -49,6 +52,110 @@
 	}
 }
 
+// TestSignals runs the program against two addresses of discovery that note who calls and never answer. SIGHUP moves
+// the watch, a file that cannot be used changes nothing, and no SIGHUP ends the program, not even past SIGTERM.
+func TestSignals(t *testing.T) {
+	calls := make(chan int)
+	var at [2]string
+	for i := range at {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		at[i] = l.Addr().String()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				calls <- i
+			}
+		}()
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		config := `{"listen":"127.0.0.1:0","discovery":"` + discovery + `","settings":{"membershipMode":"on_request",` +
+			`"classes":[{"name":"a","hardLimitNs":1}]}}`
+		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal := func(s syscall.Signal) {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Setenv("LB_CONFIG", path)
+	t.Setenv("LB_DISCOVERY", at[0])
+	write("127.0.0.1:1")
+	ended := make(chan error, 1)
+	go func() { _, err := run("serve"); ended <- err }()
+	call := func(want int) {
+		for got := range calls {
+			if got == want { // the address before may still have a call on the way
+				return
+			}
+		}
+	}
+	call(0)
+	for _, i := range []int{1, 0, 1} {
+		write("nowhere")
+		signal(syscall.SIGHUP)
+		write(at[i])
+		signal(syscall.SIGHUP)
+		call(i)
+	}
+	signal(syscall.SIGTERM)
+	signal(syscall.SIGHUP)
+	for {
+		select {
+		case <-calls:
+		case err := <-ended:
+			if err != nil {
+				t.Error(err)
+			}
+			signal(syscall.SIGHUP) // the process is still there for a moment
+			return
+		}
+	}
+}
+
+// TestReload: signals while a file is bad leave the address that counts.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	const first = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"classes":[{"name":"a","hardLimitNs":1}]}}`
+	getenv := func(key string) string { return map[string]string{"LB_CONFIG": path}[key] }
+	var moves, logged strings.Builder
+	step := func(old, new string) {
+		if err := os.WriteFile(path, []byte(strings.Replace(first, old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		hup := make(chan os.Signal)
+		c, err := config.Parse([]byte(first), getenv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { hup <- syscall.SIGHUP; stop() }()
+		reload(ctx, hup, c, getenv, func(a string) { moves.WriteString(a + " ") }, slog.New(slog.NewTextHandler(&logged, nil)))
+	}
+	step(":2", ":3")
+	step(":2", ":two")
+	step(`"settings"`, `"known":{"members":[{"id":"x"}]},"settings"`)
+	step(":1\"", ":9\"")
+	if moves.String() != "127.0.0.1:3 127.0.0.1:2 " {
+		t.Errorf("moves to %s", &moves)
+	}
+	for _, want := range []string{"discovery: want host:port", "known: members[0].phase", "fields=[listen]"} {
+		if !strings.Contains(logged.String(), want) {
+			t.Errorf("not logged: %s\n%s", want, &logged)
+		}
+	}
+}
+
 // clients has one message open for as long as a test says.
 type clients struct {
 	until   time.Time
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
@@ -46,17 +47,14 @@
 	if c.Known == nil {
 		return inventory.List{}, nil
 	}
-	list, err := decoder(c).Decode(c.Known)
+	decoder := inventory.Decoder{Zones: c.Zones, Kinds: c.Kinds}
+	list, err := decoder.Decode(c.Known)
 	if err != nil {
 		return list, fmt.Errorf("known: %w", err)
 	}
 	return list, nil
 }
 
-func decoder(c *config.Config) *inventory.Decoder {
-	return &inventory.Decoder{Zones: c.Zones, Kinds: c.Kinds}
-}
-
 // lateSink lets the sides be made before the owner that they report to.
 type lateSink struct{ *owner.Owner }
 
@@ -66,6 +64,9 @@
 		return fmt.Errorf("log-level: %w", err)
 	}
 	log := slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: least}))
+	// Never stopped: without a handler SIGHUP ends the program, and one may come at any moment, past SIGTERM too.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	known, err := knownList(c)
 	if err != nil {
 		return err
@@ -87,7 +88,7 @@
 	southConns := (c.Sockets - ownSockets) / 4
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
-	list := inventory.New(c.Discovery, known.Revision, decoder(c), log)
+	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check})
@@ -107,6 +108,10 @@
 		return sink.Run(run)
 	})
 	group.Go(func() error { return hosts.Run(owned) })
+	group.Go(func() error {
+		reload(run, hup, c, os.Getenv, list.Move, log)
+		return nil
+	})
 	group.Go(func() error {
 		leave(ctx, run, clients, log)
 		end()
@@ -115,6 +120,32 @@
 	return group.Wait()
 }
 
+// reload reads the configuration anew at every signal, until the context ends. All of it is decoded and checked before
+// any of it counts: of a file that cannot be used nothing does. Only discovery can change while the program runs.
+func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, getenv func(string) string, move func(address string),
+	log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		next, err := config.Reload(getenv)
+		if err == nil {
+			_, err = knownList(next)
+		}
+		if err != nil {
+			log.Error("configuration not reloaded: the one before serves on", "err", err)
+			continue
+		}
+		if fields := c.Fixed(next); len(fields) > 0 {
+			log.Warn("configuration reloaded: these fields take a restart", "fields", fields)
+		}
+		log.Info("configuration reloaded", "discovery", next.Discovery)
+		move(next.Discovery)
+	}
+}
+
 // leaver is what a planned end needs of the north side.
 type leaver interface {
 	Enter(p north.Phase)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +32,8 @@
 	Keepalive time.Duration // a host's machine closes a connection that stood idle for so long
 	Probes    bool          // hosts report their load to probes
 	Known     []byte        // the inventory as this dispatcher last had it, in the inventory's own form
+
+	listed string // discovery as the file has it
 }
 
 // Upper bounds of what the program takes, whatever the machine offers, and the least with which it can serve.
@@ -53,6 +57,39 @@
 	return Parse(text, getenv)
 }
 
+// Reload reads the configuration anew while the program runs. The file is what has changed, and the environment is as
+// old as the process: here the file's discovery goes before LB_DISCOVERY.
+func Reload(getenv func(string) string) (*Config, error) {
+	c, err := Load(getenv)
+	if err != nil || c.listed == "" {
+		return c, err
+	}
+	c.Discovery = c.listed
+	return c, c.check()
+}
+
+// Fixed names the fields in which a new configuration differs from the one in use and that only a restart changes: the
+// socket, the module and the bounds are made from them once.
+func (c *Config) Fixed(next *Config) []string {
+	var fields []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"seed", c.Seed == next.Seed},
+		{"limits", c.Memory == next.Memory && c.Sockets == next.Sockets},
+		{"settings", c.Keepalive == next.Keepalive && c.Probes == next.Probes && slices.Equal(c.Classes, next.Classes) &&
+			slices.Equal(c.Zones, next.Zones) && slices.Equal(c.Kinds, next.Kinds) && reflect.DeepEqual(c.Settings, next.Settings)},
+	} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
+
 // Parse decodes a configuration. The environment goes before the file for the name and the addresses. An error is one
 // line that names the field.
 func Parse(text []byte, getenv func(string) string) (*Config, error) {
@@ -65,6 +102,7 @@
 		Name:      cmp.Or(getenv("LB_NAME"), root.Text("name")),
 		Listen:    cmp.Or(getenv("LB_LISTEN"), root.Text("listen")),
 		Discovery: cmp.Or(getenv("LB_DISCOVERY"), root.Text("discovery")),
+		listed:    root.Text("discovery"),
 		Known:     root.Raw("known"),
 	}
 	limits := root.Object("limits")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -73,6 +73,47 @@
 	}
 }
 
+// TestReload: while the program runs the file's discovery goes before the variable, and what needs a restart is named.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"LB_CONFIG": path, "LB_DISCOVERY": "127.0.0.1:1", "LB_LISTEN": "127.0.0.9:1"}
+	getenv := func(key string) string { return env[key] }
+	write := func(old, new string) {
+		if err := os.WriteFile(path, []byte(strings.Replace(good, old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("", "")
+	c, err := Load(getenv)
+	if err != nil || c.Discovery != "127.0.0.1:1" {
+		t.Fatal(c, err)
+	}
+	for _, f := range []struct{ old, new, discovery, fixed, fault string }{
+		{"", "", "127.0.0.1:8500", "", ""},
+		{`"discovery":"127.0.0.1:8500",`, "", "127.0.0.1:1", "", ""},
+		{"127.0.0.1:8500", "127.0.0.1:x", "", "", "discovery"},
+		{"127.0.0.1:8500", "127.0.0.1:8501", "127.0.0.1:8501", "", ""},
+		{`"dcs":["a"`, `"dcs":["c"`, "127.0.0.1:8500", "settings", ""},
+		{`"sockets":512`, `"sockets":256`, "127.0.0.1:8500", "limits", ""},
+		{`"maxAttempts":4`, `"maxAttempts":3`, "127.0.0.1:8500", "settings", ""},
+		{`"n3"`, `"n4"`, "127.0.0.1:8500", "name", ""},
+		{"127.0.0.1:8443", "127.0.0.1:8444", "127.0.0.1:8500", "", ""}, // LB_LISTEN goes before it, as at the start
+		{`"maxAttempts":4`, `"maxAttempts":"x"`, "", "", "settings.limits.maxAttempts"},
+	} {
+		write(f.old, f.new)
+		next, err := Reload(getenv)
+		if f.fault != "" {
+			if err == nil || !strings.HasPrefix(err.Error(), f.fault) {
+				t.Errorf("%s: error %v", f.new, err)
+			}
+			continue
+		}
+		if err != nil || next.Discovery != f.discovery || strings.Join(c.Fixed(next), " ") != f.fixed {
+			t.Errorf("%s: %v, %+v, error %v", f.new, c.Fixed(next), next, err)
+		}
+	}
+}
+
 // FuzzParse checks that no configuration panics.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,6 +1,7 @@
 // Package inventory follows the list of south side hosts: it watches discovery and hands every list to the owner. A
 // watch that had worked and broke is made anew at once, and once; where that fails the module hears of it and asks
-// again when it sees fit.
+// again when it sees fit. Where discovery moves to another address, the watch there is tried until it works, and the one
+// that stands is kept until then.
 package inventory
 
 import (
@@ -13,6 +14,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +28,12 @@
 	silence      = 4500 * time.Millisecond // a watch sends something every 2 s: with two beats missed it is broken
 	lasting      = time.Second             // what broke sooner is not made anew at once: it may break again and again
 	maxLine      = 4 << 20
+
+	// Of a move: all that discovery has to tell counts as told 4 s after it. The first tries are close together, and one
+	// that gets no answer makes room for the next.
+	moveWithin  = 1200 * time.Millisecond
+	firstPause  = 100 * time.Millisecond
+	longerPause = 2 * time.Second
 )
 
 // Sink takes the lists.
@@ -35,21 +43,48 @@
 
 // Client watches discovery.
 type Client struct {
-	Address string
-	Decoder *Decoder
-	Sink    Sink
-	Log     *slog.Logger
-	Dial    func(ctx context.Context, address string) (net.Conn, error)
-	Since   int64 // the version of the list held
+	Zones, Kinds []string // names, by the module's number
+	Sink         Sink
+	Log          *slog.Logger
+	Dial         func(ctx context.Context, address string) (net.Conn, error)
 
 	asked    chan struct{}
+	moved    chan string
+	address  string
+	since    int64 // the version of the list held
 	badLines atomic.Int64
+
+	standing *watch // the one that is followed
+	next     *watch // the one that is to take its place after a move
+	moving   bool   // no watch at the new address has worked yet
+	pause    time.Duration
+	retry    *time.Timer
+	events   chan event
+	watches  sync.WaitGroup
+}
+
+// watch is one connection to discovery.
+type watch struct {
+	address string
+	since   int64
+	within  time.Duration // for its answer
+	began   time.Time
+	worked  bool // a list or a beat came
+	stop    context.CancelFunc
+}
+
+// event is what a watch tells: a list, its end, or by a beat just that it stands.
+type event struct {
+	from *watch
+	list *List
+	err  error
 }
 
 // New returns a Client that holds a list of the given version.
-func New(address string, since int64, d *Decoder, log *slog.Logger) *Client {
+func New(address string, since int64, zones, kinds []string, log *slog.Logger) *Client {
 	var dialer net.Dialer
-	return &Client{Address: address, Since: since, Decoder: d, Log: log, asked: make(chan struct{}, 1),
+	return &Client{address: address, since: since, Zones: zones, Kinds: kinds, Log: log,
+		asked: make(chan struct{}, 1), moved: make(chan string, 1), events: make(chan event),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}
@@ -63,101 +98,178 @@
 	}
 }
 
+// Move says that discovery has another address from here on. Of several calls the last one counts. It is not to be
+// called by two goroutines at once.
+func (c *Client) Move(address string) {
+	select {
+	case <-c.moved: // overtaken
+	default:
+	}
+	c.moved <- address
+}
+
 // BadLines is how many lines could not be read.
 func (c *Client) BadLines() int64 { return c.badLines.Load() }
 
 // Run watches whenever it is asked to, until the context ends.
 func (c *Client) Run(ctx context.Context) error {
+	defer c.watches.Wait()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	c.retry = time.NewTimer(0)
+	<-c.retry.C
+	defer c.retry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-c.asked:
-		}
-		for again := true; again; {
-			again = c.follow(ctx)
+			if !c.moving { // else the new address is being tried already
+				c.end(c.standing)
+				c.standing = c.start(ctx, answerWithin)
+			}
+		case address := <-c.moved:
+			if address != c.address {
+				c.Log.Info("discovery moves", "from", c.address, "to", address, "revision", c.since)
+				c.address, c.moving, c.pause = address, true, firstPause
+				c.retry.Stop()
+				c.end(c.next)
+				c.next = c.start(ctx, moveWithin)
+			}
+		case <-c.retry.C:
+			c.next = c.start(ctx, moveWithin)
+		case e := <-c.events:
+			switch {
+			case e.from != c.standing && e.from != c.next: // ended by this side
+			case e.err != nil:
+				c.ended(ctx, e)
+			default:
+				c.take(e)
+			}
 		}
 	}
 }
 
-// follow keeps one watch until it ends or another is asked for, and reports whether to make one anew at once.
-func (c *Client) follow(ctx context.Context) (again bool) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	type end struct {
-		worked bool
-		err    error
+func (c *Client) end(w *watch) {
+	if w != nil {
+		w.stop()
 	}
-	ended := make(chan end, 1)
-	began := time.Now()
-	go func() {
-		worked, err := c.watch(ctx)
-		ended <- end{worked, err}
-	}()
-	select {
-	case <-c.asked:
-		stop()
-		<-ended
-		return true
-	case e := <-ended:
-		if ctx.Err() != nil {
-			return false
-		}
-		c.Log.Warn("watch ended", "err", e.err, "worked", e.worked, "revision", c.Since)
-		if e.worked && time.Since(began) >= lasting {
-			// While it was silent changes may have been missed that count as told some seconds later: no time to lose.
+}
+
+// take hands on a list. The first sign of the watch at a new address ends the one before.
+func (c *Client) take(e event) {
+	w := e.from
+	if w == c.next {
+		c.end(c.standing)
+		c.standing, c.next, c.moving = w, nil, false
+		c.Log.Info("discovery moved", "to", w.address, "revision", c.since)
+	}
+	first := !w.worked
+	w.worked = true
+	switch {
+	case e.list == nil:
+		return
+	case e.list.Complete:
+		c.Sink.List(balance.ListFull, e.list.Hosts)
+	case e.list.Revision < c.since:
+		// The watch that stood before had told more than the service at the new address knows yet: to take its older word
+		// would bring back hosts that drain.
+		return
+	case len(e.list.Hosts) > 0 || first:
+		c.Sink.List(balance.ListChanges, e.list.Hosts)
+	}
+	c.since = e.list.Revision
+}
+
+// ended sees to what follows the end of a watch.
+func (c *Client) ended(ctx context.Context, e event) {
+	w := e.from
+	c.Log.Warn("watch ended", "err", e.err, "address", w.address, "worked", w.worked, "revision", c.since)
+	if errors.Is(e.err, errBadLine) {
+		c.badLines.Add(1)
+	}
+	switch {
+	case w == c.next:
+		c.next = nil
+		c.retry.Reset(c.pause)
+		c.pause = min(2*c.pause, longerPause)
+	case c.moving: // the old address is done with
+		c.standing = nil
+	case w.worked && time.Since(w.began) >= lasting:
+		// While it was silent changes may have been missed that count as told some seconds later: no time to lose.
+		c.standing = c.start(ctx, answerWithin)
+	default:
+		c.standing = nil
+		c.Sink.List(balance.ListFailed, nil)
+	}
+}
+
+// start begins a watch at the present address from the version held.
+func (c *Client) start(ctx context.Context, within time.Duration) *watch {
+	ctx, stop := context.WithCancel(ctx)
+	w := &watch{address: c.address, since: c.since, within: within, began: time.Now(), stop: stop}
+	tell := func(e event) bool {
+		select {
+		case c.events <- e:
 			return true
+		case <-ctx.Done():
+			return false
 		}
-		c.Sink.List(balance.ListFailed, nil)
-		return false
 	}
+	c.watches.Go(func() {
+		defer stop()
+		tell(event{from: w, err: c.follow(ctx, w, func(l *List) bool { return tell(event{from: w, list: l}) })})
+	})
+	return w
 }
 
-// watch makes one watch and follows it. It has worked if a list came.
-func (c *Client) watch(ctx context.Context) (worked bool, err error) {
-	dialing, stop := context.WithTimeout(ctx, answerWithin)
-	conn, err := c.Dial(dialing, c.Address)
+var errBadLine = errors.New("bad line")
+
+// follow makes a watch and hands on what it tells until it ends.
+func (c *Client) follow(ctx context.Context, w *watch, tell func(*List) bool) error {
+	dialing, stop := context.WithTimeout(ctx, w.within)
+	conn, err := c.Dial(dialing, w.address)
 	stop()
 	if err != nil {
-		return worked, fmt.Errorf("connect: %w", err)
+		return fmt.Errorf("connect: %w", err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	target := "/api/targets?follow=1&since=" + strconv.FormatInt(c.Since, 10)
-	request := http1.AppendRequest(nil, "GET", target, http1.Fields{{Name: "Host", Value: c.Address}}, nil)
-	conn.SetDeadline(time.Now().Add(answerWithin))
+	target := "/api/targets?follow=1&since=" + strconv.FormatInt(w.since, 10)
+	request := http1.AppendRequest(nil, "GET", target, http1.Fields{{Name: "Host", Value: w.address}}, nil)
+	conn.SetDeadline(time.Now().Add(w.within))
 	if _, err := conn.Write(request); err != nil {
-		return worked, fmt.Errorf("ask: %w", err)
+		return fmt.Errorf("ask: %w", err)
 	}
 	r := http1.NewReader(conn)
 	answer, err := r.ReadResponse()
 	if err != nil {
-		return worked, fmt.Errorf("answer: %w", err)
+		return fmt.Errorf("answer: %w", err)
 	}
 	if answer.Status != 200 {
-		return worked, fmt.Errorf("answer: status %d", answer.Status)
+		return fmt.Errorf("answer: status %d", answer.Status)
 	}
+	decoder := Decoder{Zones: c.Zones, Kinds: c.Kinds}
 	lines := bufio.NewReaderSize(r.Body(&answer.Head), 16<<10)
 	for {
 		conn.SetReadDeadline(time.Now().Add(silence))
 		line, err := readLine(lines)
 		if err != nil {
-			return worked, fmt.Errorf("read: %w", err)
+			return fmt.Errorf("read: %w", err)
 		}
 		if line = bytes.TrimSpace(line); len(line) == 0 {
+			if !tell(nil) {
+				return ctx.Err()
+			}
 			continue // a beat
 		}
-		list, err := c.Decoder.Decode(line)
+		list, err := decoder.Decode(line)
 		if err != nil { // the last good list holds on, and the next watch starts from its version
-			c.badLines.Add(1)
-			return worked, fmt.Errorf("bad line: %w", err)
+			return fmt.Errorf("%w: %w", errBadLine, err)
 		}
-		if list.Complete {
-			c.Sink.List(balance.ListFull, list.Hosts)
-		} else if len(list.Hosts) > 0 || !worked {
-			c.Sink.List(balance.ListChanges, list.Hosts)
+		if !tell(&list) {
+			return ctx.Err()
 		}
-		c.Since, worked = list.Revision, true
 	}
 }
 
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -31,10 +31,12 @@
 	asked []string      // targets
 	lists []string
 	dials int
+	at    []string // addresses dialled
 	down  atomic.Bool
 }
 
-func (s *service) dial(context.Context, string) (net.Conn, error) {
+func (s *service) dial(_ context.Context, address string) (net.Conn, error) {
+	s.at = append(s.at, address)
 	if s.dials++; s.down.Load() {
 		return nil, errors.New("refused")
 	}
@@ -71,7 +73,7 @@
 func within(t *testing.T, test func(*service, *Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &service{t: t, calls: make(chan net.Conn, 8)}
-		c := New("discovery:1", 41, &Decoder{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c := New("discovery:1", 41, []string{"a", "b"}, []string{"m1", "m2"}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		c.Sink, c.Dial = s, s.dial
 		ctx, stop := context.WithCancel(t.Context())
 		go c.Run(ctx)
@@ -173,6 +175,61 @@
 	})
 }
 
+// TestMove: a new address is tried until it works, and until then the old watch is followed and nothing is lost.
+func TestMove(t *testing.T) {
+	within(t, func(s *service, c *Client) {
+		old := s.accept()
+		chunk(old, line(43, true, "SERVING"))
+		s.down.Store(true)
+		began := time.Now()
+		c.Move("discovery:2")
+		time.Sleep(firstPause / 2)
+		c.Move("discovery:3") // SIGHUP again while the first move is under way
+		c.Move("discovery:3")
+		time.Sleep(firstPause * 2)
+		chunk(old, line(45, false, "DRAINING"))
+		c.Watch()           // the module asks, too
+		old.Close()         // as the old address does before long
+		s.down.Store(false) // the next call is heard,
+		call := <-s.calls   // and gets no answer: another is made
+		conn := s.accept()
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("tried again only after %v", took)
+		}
+		call.Close()
+		chunk(conn, line(44, false, "SERVING")) // it lags behind what the old one told
+		chunk(conn, line(46, false, "DELETED"))
+		want := "kind 0 s-5be2a07c state 0 zone 1 kind 1 up 1s, kind 1 s-5be2a07c state 1 zone 1 kind 1 up 1s, " +
+			"kind 1 s-5be2a07c state 2 zone 1 kind 1 up 1s"
+		if got := strings.Join(s.lists, ", "); got != want || s.asked[1] != "/api/targets?follow=1&since=45" {
+			t.Errorf("asked %q, lists %s", s.asked, got)
+		}
+		if last := len(s.at) - 1; s.at[0] != "discovery:1" || s.at[1] != "discovery:2" || s.at[2] != "discovery:3" || s.at[last] != "discovery:3" {
+			t.Errorf("dialled %q", s.at)
+		}
+	})
+}
+
+// TestMoveByBeat: where nothing has changed a beat shows that the new address stands, and the old watch ends.
+func TestMoveByBeat(t *testing.T) {
+	within(t, func(s *service, c *Client) {
+		old := s.accept()
+		chunk(old, line(43, true, "SERVING"))
+		c.Move("discovery:2")
+		conn := s.accept()
+		synctest.Wait()
+		chunk(old, line(44, false, "DRAINING"))
+		chunk(conn, "\n")
+		if _, err := old.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the old watch: %v", err)
+		}
+		chunk(conn, line(45, false, "SERVING"))
+		if len(s.lists) != 3 || s.dials != 2 {
+			t.Errorf("%d dials, lists %q", s.dials, s.lists)
+		}
+	})
+}
+
 // FuzzDecode checks that no line panics and that what is accepted has what the owner needs.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(line(43, true, "SERVING")))
