Put hosts that hold up or lose jobs after all others; let keyed jobs wait in their cell

At fault in balance.go: failed (a probe clears a reset at once), usable (never back to a worker of a keyed job), route (more room wanted of each further attempt, also where few hosts are left), learn (a gain of 0.1 whatever the surprise). The owner and the south side log an attempt's start, answer and reset at debug level.

--- a/balance/api.go
+++ b/balance/api.go
@@ -78,7 +78,6 @@
 	ConnectTimeout time.Duration
 	CanCancel      bool
 	CanProbe       bool
-	CanTell        bool
 	SecondCopies   bool // two attempts of one job may be out together
 	MaxRetryAfter  time.Duration
 
@@ -88,7 +87,7 @@
 	OverloadFactor float64       // sent more than so many times its present capacity,
 	FallTime       time.Duration // for so long, a cold worker falls over
 
-	CrossZoneFee, WasteFee, ProbeFee, LateFee, PeerFee, HandshakeFee float64
+	CrossZoneFee, WasteFee, ProbeFee, LateFee, HandshakeFee float64
 }
 
 // State is what the list says of a worker.
@@ -164,9 +163,6 @@
 	Report  []float32 // the worker's load report; empty if none came
 }
 
-// Everyone stands for all other dispatchers.
-const Everyone = -1
-
 // Actions is what a host does for a Dispatcher. Calls are made only from within a Dispatcher's methods.
 type Actions interface {
 	// Send starts the job's next attempt (they count from 0), given up after the timeout; 0 for the client's patience.
@@ -183,8 +179,6 @@
 	Timer(after time.Duration, token uint64)
 	// Watch asks for the changes of the list of workers from here on.
 	Watch()
-	// Tell sends a message of at most 256 bytes to another dispatcher by its number, or to all others (Everyone).
-	Tell(to int, data []byte)
 	// Log reports a line to the operators.
 	Log(line string)
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,19 +8,16 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	talk      = 0.004 // the share of the result that may go into messages or into probes for load
+	talk      = 0.004 // the share of the result that may go into probes for load
 	threshold = 2     // k of the report: own jobs at a worker that tells nothing of its slots
 	turns     = 8     // turns in a period for each worker, on average; more only sharpens the proportions
 	reach     = 32    // workers looked at past the scheduled one: no job costs a walk over a large fleet
-	entrySize = 5     // of a message: a worker's id and the slots that own jobs take there, in eighths
-	alarm     = 255   // in place of the slots: it failed
 
 	goneKept = 10 * time.Minute // workers that are listed no more are remembered so long where gone is advice
 )
@@ -33,21 +30,6 @@
 	d.ticks()
 }
 
-// join finds the group of dispatchers that tell each other of every change, two entries a job; fewer leave a
-// picture mostly old. Where telling everyone is too dear, neighbouring numbers form groups as large as can be
-// paid, each with its part of the fleet, and know what it holds. It hurts where a part falls out together.
-func (d *Dispatcher) join() {
-	pays := talk * 256 / max(d.s.PeerFee, 0.001)
-	most := 1 + int(pays/(2*entrySize))
-	n := d.s.Dispatchers
-	if d.groups, d.tells = 1, d.s.CanTell && n > 1 && most > 1; d.tells {
-		d.groups = (n + most - 1) / most
-	}
-	g := d.s.Number * d.groups / n
-	d.group = [2]int{(g*n + d.groups - 1) / d.groups, ((g+1)*n + d.groups - 1) / d.groups}
-	d.perJob = pays / float64(max(d.group[1]-d.group[0]-1, 1))
-}
-
 // ask calls for the list at a seeded moment within a time.
 func (d *Dispatcher) ask(within time.Duration) {
 	d.do.Timer(time.Duration(d.rng.Float64()*float64(within)), watchToken)
@@ -99,7 +81,6 @@
 		return true
 	})
 	d.sortReady()
-	d.cut()
 	d.lists++ // periods are made anew when next used
 	d.drain(now)
 }
@@ -121,25 +102,8 @@
 		r.c.Effect != Unsafe && len(r.tries) == 0 && d.draw(uint64(r.ID)) < max(0.02, d.trust*d.trust)
 }
 
-// cut finds the group's part: an equal share of the fleet in fixed order, by what is listed: all must agree.
-func (d *Dispatcher) cut() {
-	all, upTo := 1e-9, 0.0
-	for _, w := range d.sorted {
-		all += w.nominal
-	}
-	d.part = d.part[:0]
-	for _, w := range d.sorted {
-		at := (upTo + w.nominal/2) / all * float64(d.groups)
-		upTo += w.nominal
-		if w.mine = int(at) == d.s.Number*d.groups/d.s.Dispatchers; w.mine {
-			d.part = append(d.part, w)
-		}
-	}
-}
-
 const ( // a job is offered to
-	nearPart   = iota // those of the group's part in the own zone,
-	groupPart         // all of that part,
+	nearPart   = iota // those of the own zone,
 	wholeFleet        // and all
 )
 
@@ -152,8 +116,7 @@
 	p.made, p.members = d.lists, p.members[:0]
 	sum := 0.0
 	for _, w := range d.sorted {
-		if (kind < 0 || w.Kind == kind) &&
-			(part == wholeFleet || w.mine && (part == groupPart || w.Zone == d.s.Zone)) {
+		if (kind < 0 || w.Kind == kind) && (part == wholeFleet || w.Zone == d.s.Zone) {
 			p.members = append(p.members, w)
 			sum += d.size(w)
 		}
@@ -213,13 +176,6 @@
 // others estimates the slots that other dispatchers' jobs take. What was seen is drawn back to the worker's
 // mean as those jobs end, and in a minute to its kind's.
 func (d *Dispatcher) others(now time.Duration, w *worker) float64 {
-	if d.knows(now, w) {
-		sum := 0.0
-		for _, n := range w.told {
-			sum += n
-		}
-		return sum
-	}
 	age := (now - w.seenAt).Seconds()
 	usual := w.kind.usual + (w.usual-w.kind.usual)/(1+age/60)
 	return usual + (w.others-usual)/(1+age/d.mean)
@@ -228,15 +184,12 @@
 // saw corrects the guess: a job was turned away or waits there (full), or started at once (room). So k is
 // learnt per kind: it falls to what ran side by side and grows with each start. A bad worker hurts its kind.
 func (d *Dispatcher) saw(now time.Duration, w *worker, full bool) {
-	if k := w.kind; k.slots == 0 && (d.s.TellsStart || d.knows(now, w)) { // nothing reported: learn k
-		held, least, grow := w.own+d.others(now, w), 1.0*threshold, 0.02
-		if d.s.TellsStart { // a job that waits is seen at once: it is one more than run there
-			held, least, grow = held-1, 1, 0.1
-		}
+	if k := w.kind; k.slots == 0 && d.s.TellsStart { // nothing reported: learn k
+		held := w.own + d.others(now, w) - 1 // the job that waits is one more than run there
 		if full {
-			k.room += (min(k.room, max(least, held)) - k.room) * 0.1
+			k.room += (min(k.room, max(1, held)) - k.room) * 0.1
 		} else if held+2 > k.room {
-			k.room = min(threshold+1, k.room+grow)
+			k.room = min(threshold+1, k.room+0.1)
 		}
 	}
 	if left := w.kind.slots - w.own; w.kind.slots > 0 && full == (left > d.others(now, w)) {
@@ -256,49 +209,31 @@
 		return false
 	}
 	for _, a := range r.tries {
-		if a.w == w && (!a.clean || (now-a.sent).Seconds() < d.mean) {
-			return false // it turned this job away just now, or may have run it
+		if a.w == w && (now-a.sent).Seconds() < d.mean {
+			return false // it turned this job away just now, or lost it
 		}
 	}
 	return true
 }
 
 // route follows the period: the scheduled worker, or past k the next ready one in fixed order, wrapping;
-// where crossings have a price the period of the own zone first, that of all only past k there.
+// where crossings have a price the period of the own zone first, that of all only past k there. Doubtful
+// workers come after all others.
 func (d *Dispatcher) route(now time.Duration, r *request) *worker {
 	want := r.need + 0.5*float64(len(r.tries)) // surer signs each time: guesses must not use up the attempts
 	if d.s.TellsStart {
 		want -= 0.5 // a job that waits is seen and mended
 	}
-	far, keyed := reach, r.c.Effect == Keyed && r.trace() != nil
-	if keyed {
-		far = len(d.sorted) // few may repeat it: look for them everywhere
+	far := reach
+	if r.c.Effect == Keyed && r.trace() != nil {
+		far, want = len(d.sorted), r.need-1 // few may repeat it: look at all, and let it wait
 	}
-	for part := nearPart; part <= wholeFleet; part++ {
-		near := part == nearPart
-		if near && (d.s.CrossZoneFee == 0 || len(r.tries) > 1) ||
-			part == groupPart && d.groups == 1 ||
-			part == wholeFleet && d.groups > 1 && !keyed && d.draw(uint64(r.ID)) > max(0.05, d.abroad) {
-			continue
-		}
-		p := d.period(r.c.Kind, part)
-		n := len(p.turns)
-		if n == 0 {
-			continue
-		}
-		at := p.turns[(d.count+d.s.Number*(n+turns)/d.s.Dispatchers)%n] // turns: out of step with the rounds
-		for i := range min(far, len(p.members)) {
-			w := p.members[(at+i)%len(p.members)]
-			// More is lost on the way there than here: pass by, but for some trials; no worker is at fault.
-			more := d.ways[w.Zone&255].lost(now) - d.ways[d.s.Zone&255].lost(now)
-			if d.draw(uint64(r.ID)<<8^uint64(w.Zone)) < min(0.9, 10*more) {
+	for _, sure := range []bool{true, false} {
+		for part := nearPart; part <= wholeFleet; part++ {
+			if part == nearPart && (d.s.CrossZoneFee == 0 || len(r.tries) > 1) {
 				continue
 			}
-			// A worker of the own zone has its turn in that zone's period alone, where there is one.
-			turn := i == 0 && len(r.tries) == 0 && (part < wholeFleet || d.groups == 1) &&
-				(near || d.s.CrossZoneFee == 0 || w.Zone != d.s.Zone)
-			if d.usable(now, r, w, turn) && d.spare(now, w) >= want &&
-				(r.late || now+d.runs(now, r, w) <= r.aim) {
+			if w := d.walk(now, r, part, far, want, sure); w != nil {
 				return w
 			}
 		}
@@ -306,6 +241,32 @@
 	return nil
 }
 
+// walk looks for room from the scheduled worker of a period on, where sure without those that are doubtful.
+func (d *Dispatcher) walk(now time.Duration, r *request, part, far int, want float64, sure bool) *worker {
+	p := d.period(r.c.Kind, part)
+	n := len(p.turns)
+	if n == 0 {
+		return nil
+	}
+	at := p.turns[(d.count+d.s.Number*(n+turns)/d.s.Dispatchers)%n] // turns: out of step with the rounds
+	for i := range min(far, len(p.members)) {
+		w := p.members[(at+i)%len(p.members)]
+		// More is lost on the way there than here: pass by, but for some trials; no worker is at fault.
+		more := d.ways[w.Zone&255].lost(now) - d.ways[d.s.Zone&255].lost(now)
+		if d.draw(uint64(r.ID)<<8^uint64(w.Zone)) < min(0.9, 10*more) || sure && w.doubtful(now, r) {
+			continue
+		}
+		// A worker of the own zone has its turn in that zone's period alone, where there is one.
+		turn := i == 0 && len(r.tries) == 0 &&
+			(part == nearPart || d.s.CrossZoneFee == 0 || w.Zone != d.s.Zone)
+		if d.usable(now, r, w, turn) && d.spare(now, w) >= want &&
+			(r.late || now+d.runs(now, r, w) <= r.aim) {
+			return w
+		}
+	}
+	return nil
+}
+
 // place sends the job if a worker has room. Past k everywhere it waits here, ordered by worth.
 func (d *Dispatcher) place(now time.Duration, r *request) bool {
 	var w *worker
@@ -342,8 +303,7 @@
 	}
 	in := d.share(now, j.Tenant) // a tenant over its share yields to the others
 	r.worth *= in + (1-in)*d.s.OverShareWorth
-	d.said = min(512, d.said+d.perJob) // two messages at most
-	if j.Left <= 3*d.s.Tick {          // a last try with hardly any patience left must not wait for its timer
+	if j.Left <= 3*d.s.Tick { // a last try with hardly any patience left must not wait for its timer
 		d.look(now, r)
 		d.forget(r)
 		return
@@ -388,6 +348,7 @@
 // Started notes that an attempt runs. One that did so at once had room.
 func (d *Dispatcher) Started(now time.Duration, id JobID, n int) {
 	if _, a := d.find(id, n); a != nil {
+		a.wait(false)
 		if a.started, a.began = true, now; now-a.sent < d.patience {
 			d.saw(now, a.w, false)
 		}
@@ -407,12 +368,9 @@
 	d.take(now, w, -r.need)
 	d.report(now, w, o.Report)
 	d.turned *= 0.98
-	d.ways[w.Zone&255].saw(now, o.Status == TimedOut || o.Status == ConnectFailed)
-	if !w.mine {
-		if d.abroad *= 0.9; o.Status != Full {
-			d.abroad += 0.1
-		}
-	}
+	a.wait(false)
+	d.ways[w.Zone&255].saw(now, o.Status == TimedOut || o.Status == ConnectFailed, 0.05, 0.1)
+	w.errs.saw(now, o.Status == TimedOut || o.Status == Errored || o.Status == Reset, 0.2, 1)
 	switch o.Status {
 	case OK:
 		if !w.proven {
@@ -427,7 +385,7 @@
 		d.turned += 0.02
 		d.saw(now, w, true)
 	case Errored, ConnectFailed, Reset:
-		d.failed(now, w, o.Status != Errored, true)
+		d.failed(now, w, o.Status != Errored)
 	}
 	switch {
 	case o.Closed || o.Status == OK:
@@ -453,16 +411,20 @@
 	d.mean += (took*r.size - d.mean) * g
 	d.unit[r.class] *= math.Pow(max(took, 1e-6)/d.unit[r.class], g)
 	ratio, p, k := max(took, 1e-6)/d.unit[r.class], pace(now, w), w.kind
-	w.slow, w.slowAt = p*math.Pow(ratio*d.warmth(now, w)/p, 0.1), now
+	off := ratio * d.warmth(now, w) / p
+	if g = 0.1; off > 3 { // no chance of a job's: it has become slow
+		g = 0.3
+	}
+	w.slow, w.slowAt = p*math.Pow(off, g), now
 	k.slow *= math.Pow(ratio/k.slow, gain(&k.served, 0.05))
-	if off := k.slow / k.built; d.s.RoughWeights && (off > 1.15 || off < 1/1.15) {
+	if off = k.slow / k.built; d.s.RoughWeights && (off > 1.15 || off < 1/1.15) {
 		k.built, d.lists = k.slow, d.lists+1
 	}
 }
 
 // failed leaves a worker out for a time, twice as long for each recent failure; those fade. What cannot be
 // reached is out till a probe is answered. It meets errors, turns, crashes, strangers; a bad way hurts it.
-func (d *Dispatcher) failed(now time.Duration, w *worker, down, tell bool) {
+func (d *Dispatcher) failed(now time.Duration, w *worker, down bool) {
 	if !w.proven {
 		d.trust *= 0.7
 	}
@@ -475,8 +437,7 @@
 	}
 	w.fails, w.failedAt = min(w.recent(now)+1, 6), now
 	w.outTill, w.down = now+seconds(pause.Seconds()*math.Exp2(w.fails)), down && d.s.CanProbe
-	w.cut, w.alarm = down, tell && (!down || w.Zone == d.s.Zone) // else the way may be at fault
-	if down && w.State == Gone {                                 // two witnesses
+	if w.cut = down; down && w.State == Gone { // two witnesses
 		w.lostAt = now
 	}
 	if !w.sick {
@@ -513,7 +474,7 @@
 		d.report(now, w, rep)
 		d.drain(now)
 	case status == ConnectFailed || status == Reset:
-		d.failed(now, w, true, false)
+		d.failed(now, w, true)
 	}
 }
 
@@ -565,12 +526,7 @@
 	case tickToken:
 		d.ticking = false
 		d.health(now)
-		if d.news || d.groups == 1 {
-			d.drain(now)
-		}
-		if d.news = false; d.tells {
-			d.tell()
-		}
+		d.drain(now)
 		d.ticks()
 	case jobToken:
 		r := d.jobs[JobID(token>>tokenBits)]
@@ -622,6 +578,7 @@
 		// It waits there. A safe job is taken back if another has room, but for the last two attempts, as it
 		// may run on all the same, and not where many are turned away: rooms are short there and it is next.
 		a := &r.tries[i]
+		a.wait(true)
 		d.saw(now, a.w, true)
 		if r.late && r.c.LateWorth == 0 { // it holds a place in the queue for nothing: others go late by it
 			d.giveUp(r)
@@ -635,50 +592,3 @@
 	}
 	d.wake(now, r)
 }
-
-// tell lets the group know the own jobs at workers where they changed; it repeats, as messages get lost.
-func (d *Dispatcher) tell() {
-	d.msg = d.msg[:0]
-	for i := 0; i < len(d.part) && len(d.msg)+entrySize <= min(int(d.said), 256); i++ {
-		d.teller++
-		w := d.part[d.teller%len(d.part)]
-		own := byte(min(w.own*8, alarm-1))
-		if w.alarm {
-			own, w.alarm = alarm, false
-		}
-		if own != w.saidOwn || d.said > 400 {
-			w.saidOwn = own
-			d.msg = append(binary.LittleEndian.AppendUint32(d.msg, uint32(w.ID)), own)
-		}
-	}
-	switch d.said -= float64(len(d.msg)); {
-	case len(d.msg) == 0:
-	case d.groups == 1:
-		d.do.Tell(Everyone, d.msg)
-	default:
-		for i := d.group[0]; i < d.group[1]; i++ {
-			if i != d.s.Number {
-				d.do.Tell(i, d.msg)
-			}
-		}
-	}
-}
-
-// Peer takes a message from another dispatcher. What it does not name is unchanged.
-func (d *Dispatcher) Peer(now time.Duration, from int, data []byte) {
-	if !d.tells || from < d.group[0] || from >= d.group[1] {
-		return
-	}
-	d.heard = now
-	for ; len(data) >= entrySize; data = data[entrySize:] {
-		switch w := d.workers[WorkerID(binary.LittleEndian.Uint32(data))]; {
-		case w == nil || w.told == nil:
-		case data[4] != alarm:
-			n := &w.told[from-d.group[0]]
-			d.news = d.news || float64(data[4])/8 < *n // room
-			*n = float64(data[4]) / 8
-		default:
-			d.failed(now, w, false, false)
-		}
-	}
-}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -56,7 +56,6 @@
 func (h *host) Cancel(j JobID, n int)           { h.add("cancel %d %d", j, n) }
 func (h *host) Probe(w WorkerID)                { h.add("probe %d", w); h.probes = append(h.probes, w) }
 func (h *host) Watch()                          { h.watches++ }
-func (h *host) Tell(int, []byte)                { h.add("tell") }
 func (h *host) Log(string)                      {}
 func (h *host) Timer(after time.Duration, token uint64) {
 	h.timers = append(h.timers, timer{h.now + after, token})
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -11,13 +11,30 @@
 // lost is the share as it counts now: half after ten seconds.
 func (y *way) lost(now time.Duration) float64 { return y.share / (1 + (now-y.at).Seconds()/10) }
 
-func (y *way) saw(now time.Duration, lost bool) {
-	y.share, y.at = y.lost(now)*0.95, now
+func (y *way) saw(now time.Duration, lost bool, gain, most float64) {
+	y.share, y.at = y.lost(now)*(1-gain), now
 	if lost {
-		y.share = min(0.1, y.share+0.05)
+		y.share = min(most, y.share+gain)
 	}
 }
 
+// waits notes whether an attempt waits at its worker though its start is due.
+func (a *attempt) wait(waits bool) {
+	if a.waits != waits {
+		a.waits = waits
+		a.w.waits++
+		if !waits {
+			a.w.waits -= 2
+		}
+	}
+}
+
+// doubtful: a job of this dispatcher waits there, or some were lost there lately and this one must not be.
+// Such a worker comes after all others: one that is silent holds few jobs, and it serves when it is needed.
+func (w *worker) doubtful(now time.Duration, r *request) bool {
+	return w.waits > 0 || r.c.Effect == Unsafe && w.errs.lost(now) > 0.05
+}
+
 // recent is what is left of a worker's failures: half after ten seconds.
 func (w *worker) recent(now time.Duration) float64 {
 	return w.fails / (1 + (now-w.failedAt).Seconds()/10)
@@ -27,9 +44,6 @@
 func (d *Dispatcher) newWorker(e Worker) *worker {
 	w := &worker{kind: d.kindOf(e.Kind), slow: 1, turn: -1}
 	w.usual, w.others = w.kind.usual, w.kind.usual
-	if d.tells {
-		w.told = make([]float64, d.group[1]-d.group[0])
-	}
 	w.proven = d.lists == 0
 	if old := d.workers[e.ID]; old != nil {
 		w.proven = old.proven
@@ -58,11 +72,6 @@
 	r.done = true
 }
 
-// knows: the group has lately told what it holds there.
-func (d *Dispatcher) knows(now time.Duration, w *worker) bool {
-	return d.tells && w.mine && now < d.heard+2*time.Second
-}
-
 // pace is the running time at a worker over the usual one, forgotten in some 20 s: a slow one gets a trial.
 func pace(now time.Duration, w *worker) float64 {
 	return 1 + (w.slow-1)/(1+(now-w.slowAt).Seconds()/20)
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -19,7 +19,6 @@
 func (printer) Probe(balance.WorkerID)                  {}
 func (printer) Timer(time.Duration, uint64)             {}
 func (printer) Watch()                                  {}
-func (printer) Tell(int, []byte)                        {}
 func (printer) Log(string)                              {}
 
 func Example() {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -21,10 +21,10 @@
 		class int
 		group []WorkerID // where a job that may have run may go again
 	}{
-		{"safe", 0, []WorkerID{2, 3, 4, 5}},
-		{"keyed, all", 1, []WorkerID{2, 3, 4, 5}},
-		{"keyed, zone", 2, []WorkerID{2, 3}},
-		{"keyed, cell", 3, []WorkerID{2}},
+		{"safe", 0, []WorkerID{1, 2, 3, 4, 5}},
+		{"keyed, all", 1, []WorkerID{1, 2, 3, 4, 5}},
+		{"keyed, zone", 2, []WorkerID{1, 2, 3}},
+		{"keyed, cell", 3, []WorkerID{1, 2}},
 		{"unsafe", 4, nil},
 	}
 	for _, c := range classes {
@@ -365,32 +365,6 @@
 	}
 }
 
-func TestPeersTellWhatTheyHold(t *testing.T) {
-	s := settings()
-	s.CanTell, s.Dispatchers = true, 2
-	h := newHost(t, s, fleet(1, 1)...)
-	h.d.Probed(h.now, 1, OK, []float32{4})
-	h.d.Probed(h.now, 2, OK, []float32{4})
-	h.d.Peer(h.now, 1, []byte{1, 0, 0, 0, 4 * 8}) // all four slots of worker 1
-	for id := range JobID(4) {
-		h.job(1+id, 0)
-	}
-	for _, w := range h.sends {
-		if w != 2 {
-			t.Errorf("sent to worker %d, which another dispatcher fills", w)
-		}
-	}
-	h.run(h.now + 100*ms)
-	if !slices.Contains(h.acts, "tell") {
-		t.Error("own jobs were not told")
-	}
-	for _, odd := range [][]byte{nil, {1}, {9, 9, 9, 9, 9}, {1, 0, 0, 0, 0, 7}} {
-		h.d.Peer(h.now, 1, odd)
-		h.d.Peer(h.now, 77, odd)
-		h.d.Peer(h.now, -1, odd)
-	}
-}
-
 func TestOddEventsDoNoHarm(t *testing.T) {
 	h := newHost(t, Settings{}) // nothing is set: safe defaults
 	h.d.Outcome(h.now, Outcome{Job: 9, Attempt: 3, Status: OK})
--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -27,7 +27,6 @@
 func (quiet) Cancel(JobID, int)                           {}
 func (quiet) Probe(WorkerID)                              {}
 func (quiet) Watch()                                      {}
-func (quiet) Tell(int, []byte)                            {}
 func (quiet) Log(string)                                  {}
 func (quiet) Timer(time.Duration, uint64)                 {}
 
@@ -219,12 +218,11 @@
 	for _, n := range []int{-1, 0, 1, 100_000} {
 		for _, number := range []int{-5, 0, 99_999_999} {
 			s := settings()
-			s.Dispatchers, s.Number, s.CanTell, s.PeerFee = n, number, true, math.NaN()
+			s.Dispatchers, s.Number = n, number
 			h := newHost(t, s, large(5000)...)
 			nan := math.NaN()
 			h.d.List(h.now, ListChanges, []Worker{{ID: 1, Weight: nan}, {ID: 2, Weight: -1}, {ID: 3, Weight: math.Inf(1)},
 				{ID: 4}, {ID: 5, Zone: -7, Kind: -9, State: 77}})
-			h.d.Peer(h.now, 3, []byte{1, 0, 0, 0, 255, 2})
 			h.d.Probed(h.now, 2, OK, []float32{float32(nan)})
 			h.d.Probed(h.now, 2, OK, []float32{float32(math.Inf(1)), 1, 2, 3})
 			h.d.Probed(h.now, 2, OK, nil)
--- a/balance/state.go
+++ b/balance/state.go
@@ -23,15 +23,13 @@
 	lastAt   time.Duration // when that came
 	slow     float64       // pace when it was last learnt
 	slowAt   time.Duration // when that was
-	told     []float64     // slots taken by each dispatcher of the group, where they tell
-	mine     bool          // in the group's part of the fleet
-	saidOwn  byte          // own, as last told
 	down     bool          // no connection: out until a probe succeeds
 	sick     bool          // in the list of those that are looked after
 	fails    float64       // recent failures, as of failedAt
 	failedAt time.Duration
 	cut      bool          // the last failure was one to connect
-	alarm    bool          // its failure is to be told
+	waits    int           // own attempts there that have not started in time
+	errs     way           // share of recent attempts there that may have run and were not served
 	proven   bool          // it was there at the start, or has served a job
 	outTill  time.Duration // left out until then, or next probe of a worker that is down
 	turn     int           // the last turn that it got while cold
@@ -63,6 +61,7 @@
 	sent, began  time.Duration
 	out, started bool
 	called       bool // withdrawn
+	waits        bool // it has not started in time
 	clean        bool // known never to have run
 }
 
@@ -81,7 +80,7 @@
 
 type periodKey struct {
 	kind int // -1: any
-	part int // of the group's part of the fleet and the own zone, of that part, of all
+	part int // of the own zone, of all
 }
 
 // period is the order in which ready workers get their turns.
@@ -118,24 +117,14 @@
 	asked   []time.Duration    // by tenant: its last job
 	placed  float64            // share of recent jobs that found room as they came
 	trust   float64            // in workers that have joined the list and not served yet
-	abroad  float64            // share of recent attempts outside the group's part that found room
 	turned  float64            // share of recent attempts that were turned away
 	probe   int                // next worker to probe for load
 	tick    time.Duration      // between looks at what only waits
 	// patience is how long a start may take where there is room: a few times the way there and back, of which the
 	// time-out of a connection allows several.
 	patience time.Duration
-	ticking  bool   // a tick is asked for
-	tells    bool   // dispatchers tell each other of every change
-	groups   int    // of dispatchers that tell each other
-	group    [2]int // the numbers of the own group: from, to
-	msg      []byte
-	perJob   float64       // bytes that each job adds to what may go into messages
-	said     float64       // bytes that may still go into messages
-	teller   int           // where the last message ended
-	heard    time.Duration // last message from a peer
-	news     bool          // since the last tick a peer told of room
-	sick     []*worker     // down or ejected
+	ticking  bool      // a tick is asked for
+	sick     []*worker // down or ejected
 }
 
 // Timers: ask for the list, tick, look at a job; the job's id is above these bits.
@@ -148,7 +137,7 @@
 
 // ticks asks for the next tick while there is something to do at one.
 func (d *Dispatcher) ticks() {
-	if !d.ticking && (d.tells || len(d.sick)+len(d.held) > 0) {
+	if !d.ticking && len(d.sick)+len(d.held) > 0 {
 		d.ticking = true
 		d.do.Timer(d.tick, tickToken)
 	}
@@ -296,7 +285,7 @@
 
 // New returns a Dispatcher that acts through do. Random numbers are drawn from the seed alone.
 func New(s Settings, seed uint64, do Actions) *Dispatcher {
-	d := &Dispatcher{s: s, do: do, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, placed: 1, trust: 1, abroad: 1, probe: int(seed >> 40),
+	d := &Dispatcher{s: s, do: do, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, placed: 1, trust: 1, probe: int(seed >> 40),
 		workers: map[WorkerID]*worker{}, kinds: map[int]*kind{}, periods: map[periodKey]*period{},
 		jobs: map[JobID]*request{}}
 	d.s.Tick = max(s.Tick, time.Millisecond)
@@ -307,6 +296,5 @@
 	d.asked = make([]time.Duration, len(s.Tenants))
 	d.s.Dispatchers, d.s.MaxAttempts = max(s.Dispatchers, 1), max(s.MaxAttempts, 1)
 	d.s.Number = max(s.Number, 0) % d.s.Dispatchers
-	d.join()
 	return d
 }
--- a/balance/untrue_test.go
+++ b/balance/untrue_test.go
@@ -20,9 +20,9 @@
 		refusal bool
 	}{
 		{"safe, proof", 0, false, []WorkerID{1, 2, 3}, true},
-		{"safe, no proof", 0, true, []WorkerID{2, 3}, true},
+		{"safe, no proof", 0, true, []WorkerID{1, 2, 3}, true},
 		{"keyed in a cell, proof", 3, false, []WorkerID{1, 2, 3}, true},
-		{"keyed in a cell, no proof", 3, true, []WorkerID{2}, false},
+		{"keyed in a cell, no proof", 3, true, []WorkerID{1, 2}, false},
 		{"unsafe, proof", 4, false, []WorkerID{1, 2, 3}, true},
 		{"unsafe, no proof", 4, true, nil, false},
 	} {
@@ -208,45 +208,6 @@
 	}
 }
 
-// TestGroupsCoverTheFleet: dispatchers too many to tell each other everything share the fleet out, and tell their group.
-func TestGroupsCoverTheFleet(t *testing.T) {
-	s := settings()
-	s.CanTell, s.PeerFee, s.Dispatchers = true, 0.01, 200
-	met := map[WorkerID]int{}
-	for n := range s.Dispatchers {
-		s.Number = n
-		h := newHost(t, s, large(100)...)
-		own := map[WorkerID]bool{}
-		for _, w := range h.serve(1, 40) {
-			met[w]++
-			own[w] = true
-		}
-		if len(own) > 20 {
-			t.Fatalf("dispatcher %d uses %d of 100 workers though its part has room", n, len(own))
-		}
-	}
-	for w := WorkerID(1); w <= 100; w++ {
-		if n := met[w]; n < 40 || n > 160 {
-			t.Errorf("worker %d got %d jobs, on average 80", w, n)
-		}
-	}
-}
-
-// TestFailureIsToldToTheGroup: who hears of a failure leaves the worker out as well; across zones the way may be at fault.
-func TestFailureIsToldToTheGroup(t *testing.T) {
-	s := settings()
-	s.CanTell, s.Dispatchers, s.PeerFee = true, 2, 0.01
-	h := newHost(t, s, fleet(1, 1, 1, 1)...)
-	h.d.Peer(h.now, 1, []byte{2, 0, 0, 0, 255})
-	if slices.Contains(h.serve(1, 12), 2) {
-		t.Error("a worker that failed another dispatcher got a job at once")
-	}
-	h.run(h.now + 20*time.Second)
-	if !slices.Contains(h.serve(100, 12), 2) {
-		t.Error("it never gets another")
-	}
-}
-
 // TestGivenUpIsAnsweredAtOnce: nothing is held back so that the client does not ask again.
 func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
 	s := settings()
@@ -336,3 +297,108 @@
 		t.Errorf("jobs of 400 to the other zone: %d before, %d while all is lost, %d after", before, during, after)
 	}
 }
+
+// TestLostJobsKeepUnsafeOnesAway: a worker that answers probes and loses jobs gets no unsafe ones while others have
+// room, but keyed ones all along, and unsafe ones again as its losses fade.
+func TestLostJobsKeepUnsafeOnesAway(t *testing.T) {
+	s := settings()
+	s.FreeSlots = -1
+	h := newHost(t, s, fleet(1, 1)...)
+	met := func(from JobID, class int) (n int) {
+		for id := from; id < from+20; id++ {
+			h.job(id, class)
+			if h.sentFor[id][0] == 1 {
+				n++
+			}
+			h.end(id, OK)
+		}
+		return n
+	}
+	for h.job(1, 1); h.sentFor[1][0] != 1; h.job(1, 1) {
+		h.end(1, OK)
+		delete(h.answered, 1)
+		delete(h.sentFor, 1)
+	}
+	h.end(1, Reset)
+	h.end(1, OK) // at the other one
+	h.run(h.now + 500*ms)
+	h.d.Probed(h.now, 1, OK, nil)
+	h.run(h.now + 500*ms)
+	if n := met(100, 4); n > 0 {
+		t.Errorf("%d of 20 unsafe jobs went to a worker that had just lost one", n)
+	}
+	if n := met(200, 1); n < 5 {
+		t.Errorf("%d of 20 keyed jobs went there", n)
+	}
+	h.run(h.now + 40*time.Second)
+	if n := met(300, 4); n < 5 {
+		t.Errorf("%d of 20 unsafe jobs went there after 40 s", n)
+	}
+}
+
+// TestSilentWorkerHoldsFewJobs: what takes a job and does not begin it comes after all others, until it begins.
+func TestSilentWorkerHoldsFewJobs(t *testing.T) {
+	s := settings()
+	s.FreeSlots, s.CanCancel = -1, false
+	h := newHost(t, s, fleet(1, 1)...)
+	silent, silentJob := 0, JobID(0)
+	for id := JobID(1); id <= 40; id++ {
+		h.job(id, 4)
+		h.run(h.now + 20*ms)
+		if h.sentFor[id][0] == 1 {
+			silent, silentJob = silent+1, id
+			continue
+		}
+		h.d.Started(h.now, id, 0)
+		h.end(id, OK)
+	}
+	if silent != 1 {
+		t.Errorf("%d of 40 jobs went to a worker that begins none", silent)
+	}
+	h.d.Started(h.now, silentJob, 0)
+	h.end(silentJob, OK)
+	h.serve(100, 20)
+	if !slices.Contains(h.sends, 1) {
+		t.Error("it gets no job though it has begun the one it had")
+	}
+}
+
+// TestKeyedJobGoesBackWhereAlone: in a cell of one worker a job that may have run has nowhere else to go.
+func TestKeyedJobGoesBackWhereAlone(t *testing.T) {
+	h := newHost(t, settings(), Worker{ID: 1, Weight: 1}, Worker{ID: 2, Weight: 1, Cell: 1})
+	h.job(1, 3)
+	h.end(1, Reset)
+	h.run(h.now + 100*ms)
+	h.d.Probed(h.now, h.sentFor[1][0], OK, nil)
+	h.run(h.now + time.Second)
+	if len(h.sentFor[1]) < 2 || h.sentFor[1][1] != h.sentFor[1][0] {
+		t.Errorf("sent to %v", h.sentFor[1])
+	}
+}
+
+// TestSuddenlySlowWorker: two jobs that take ten times as long show it.
+func TestSuddenlySlowWorker(t *testing.T) {
+	s := settings()
+	s.FreeSlots = -1
+	h := newHost(t, s, fleet(1, 1, 1, 1)...)
+	run := func(from JobID, slow time.Duration) (met int) {
+		for id := from; id < from+80; id++ {
+			h.job(id, 4)
+			h.d.Started(h.now, id, 0)
+			took := 100 * ms
+			if h.sentFor[id][0] == 1 {
+				met++
+				took = slow
+			}
+			h.run(h.now + took)
+			h.end(id, OK)
+		}
+		return met
+	}
+	if n := run(1, 100*ms); n < 10 {
+		t.Errorf("%d of 80 jobs went to a worker as good as the others", n)
+	}
+	if n := run(1000, time.Second); n > 6 {
+		t.Errorf("%d of 80 jobs went to a worker ten times as slow", n)
+	}
+}
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -84,8 +84,6 @@
 	}
 	o := &ev.Outcome
 	switch ev.Code {
-	case wire.EvPeer:
-		d.Peer(b.Now, int(ev.Sheet), ev.Data)
 	case wire.EvTimer:
 		d.Timer(b.Now, ev.Seed)
 	case wire.EvRegistry:
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -38,6 +38,8 @@
 	if end < p.end {
 		o.later = append(o.later, func(time.Duration) { o.wheel.Add(end, timer{attempt: a}) })
 	}
+	o.Log.Debug("attempt", "message", p.Key, "host", a.Host.Name, "kind", a.Host.Worker.Kind, "zone", a.Host.Worker.Zone, "cell", a.Host.Worker.Cell,
+		"waited", a.sent-p.Arrived)
 	o.South.Send(ctx, a)
 }
 
@@ -92,8 +94,5 @@
 // Watch asks for the inventory's changes.
 func (c actions) Watch() { c.o.Inventory.Watch() }
 
-// Tell has no way to go: the settings of a real deployment give dispatchers none to talk to each other.
-func (c actions) Tell(int, []byte) { c.o.Check.Check(false, "message to another dispatcher") }
-
 // Log reports a line of the module.
 func (c actions) Log(line string) { c.o.Log.Info("module", "line", line) }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -334,6 +334,7 @@
 		a = Answer{Kind: Failed}
 	}
 	p.answered = true
+	o.Log.Debug("answered", "message", p.Key, "class", p.Job.Class, "kind", a.Kind, "hint", p.Job.Hint, "took", o.Now()-p.Arrived)
 	switch a.Kind {
 	case Served:
 		o.counts.Served++
@@ -401,11 +402,13 @@
 		}
 	}
 	if a == nil {
+		o.Log.Debug("late report", "message", r.Key, "host", r.From, "state", r.State)
 		o.counts.LateReports++
 		return
 	}
 	switch r.State {
 	case Started:
+		o.Log.Debug("attempt started", "message", p.Key, "host", a.Host.Name, "took", now-a.sent)
 		o.module.Started(now, p.id, a.number)
 	case Progress:
 		o.module.Progress(now, p.id, a.number, r.Share)
--- a/internal/south/pool.go
+++ b/internal/south/pool.go
@@ -18,10 +18,12 @@
 // conn is a connection to a host. It carries one request at a time: it is in use, or idle in the pool, or closed.
 type conn struct {
 	net.Conn
-	r    *http1.Reader
-	host string
-	age  int           // of the host's pool when it was opened
-	idle time.Duration // since when
+	r     *http1.Reader
+	host  string
+	age   int           // of the host's pool when it was opened
+	idle  time.Duration // since when
+	uses  int
+	idled time.Duration
 }
 
 // hostPool holds what is idle, the oldest first.
@@ -67,6 +69,8 @@
 		// Nothing of the request is written yet, so to pass by a broken connection repeats nothing.
 		if p.Now()-c.idle < p.idleFor && sock.Quiet(c.Conn) {
 			c.SetDeadline(time.Time{})
+			c.uses++
+			c.idled = p.Now() - c.idle
 			return c, nil
 		}
 		p.drop(c)
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -166,6 +166,7 @@
 		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
 			return balance.Cancelled
 		}
+		c.Log.Debug("reset", "message", call.ID, "host", a.Host.Name, "uses", conn.uses, "idle", conn.idled, "err", err)
 		return balance.Reset
 	}
 	return outcome(answer)
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -118,15 +118,6 @@
 	p.Reply.u32(uint32(worker))
 }
 
-// Tell writes SIGNAL, to one peer or, with all bits set, to all.
-func (p Port) Tell(to int, data []byte) {
-	data = data[:min(len(data), 256)]
-	p.Reply.start(AcTell, p.Instance)
-	p.Reply.u32(uint32(to))
-	p.Reply.u16(uint16(len(data)))
-	p.Reply.buf = append(p.Reply.buf, data...)
-}
-
 // Log writes SAY_LOG.
 func (p Port) Log(line string) { p.Reply.text(AcLog, p.Instance, line) }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,7 +39,6 @@
 	AcClose  = 1060
 	AcLog    = 1070
 	AcFault  = 1080
-	AcTell   = 1090
 	AcProbe  = 1100
 	AcTimer  = 1110
 )
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -103,7 +103,6 @@
 	p.Fail(0x9998f0e6f2b19)
 	p.Refuse(0x9998f0e6f2b19, 250*time.Millisecond)
 	p.Fault("index out of range")
-	p.Tell(balance.Everyone, []byte("hi 7"))
 	p.Probe(0x2c9011f2)
 	p.CloseIdle(0x2c9011f2)
 	var out bytes.Buffer
@@ -114,8 +113,8 @@
 		"5604 03000000 0065cd1d00000000 4d00000000000000 2e04 05000000 1100 74776f2073657276657273206b6e6f776e"+
 		"e803 03000000 c4913a5d75dd0700 00 f203 03000000 01 fc03 03000000 0604 03000000 192b6f0e8f990900"+
 		"1004 03000000 192b6f0e8f990900 80b2e60e00000000 3804 03000000 1200 696e646578206f7574206f662072616e6765"+
-		"4204 03000000 ffffffff 0400 68692037 4c04 03000000 f211902c 2404 03000000 f211902c")
-	if got := out.Bytes(); !bytes.Equal(got[12:], want) || got[0] != 12 || got[8] != 12 || int(got[4]) != (len(got)-8)&255 {
+		"4c04 03000000 f211902c 2404 03000000 f211902c")
+	if got := out.Bytes(); !bytes.Equal(got[12:], want) || got[0] != 11 || got[8] != 12 || int(got[4]) != (len(got)-8)&255 {
 		t.Errorf("reply\n%x, want\n%x", got, want)
 	}
 }
