Keep no connections to hosts for a while after a kept one broke under a request

At fault: pool.put kept connections whatever had become of the others. A look before the send (sock.Quiet) shows nothing, as the reset comes only with the request. Checked and ruled out: the time idle (4 ms is enough), the host (all of them), the callbacks (no job runs after such a reset). To send again by oneself is not allowed, as the job may have run. Now the first break closes all idle connections and keeps none for 5 s, then 10, 20 and up to 60 s. The fuzz model of the pool knows of it; it found a race of the model itself at the very end of a pause, kept as a seed.

--- a/internal/south/pool.go
+++ b/internal/south/pool.go
@@ -18,12 +18,11 @@
 // conn is a connection to a host. It carries one request at a time: it is in use, or idle in the pool, or closed.
 type conn struct {
 	net.Conn
-	r     *http1.Reader
-	host  string
-	age   int           // of the host's pool when it was opened
-	idle  time.Duration // since when
-	uses  int
-	idled time.Duration
+	r    *http1.Reader
+	host string
+	age  int           // of the host's pool when it was opened
+	idle time.Duration // since when
+	kept bool          // it has stood idle before what it carries now
 }
 
 // hostPool holds what is idle, the oldest first.
@@ -40,8 +39,17 @@
 	hosts   map[string]*hostPool
 	open    int
 	ended   bool
+
+	doubtTill time.Duration // no connection is kept until then,
+	doubtFor  time.Duration // for so long
 }
 
+// Where kept connections break under what they carry, none are kept for a while, twice as long each time.
+const (
+	firstDoubt   = 5 * time.Second
+	longestDoubt = time.Minute
+)
+
 func newPool(c Config) *pool {
 	// Well before a host's machine would close it: a request that crosses such a close may have run.
 	return &pool{Config: c, idleFor: max(c.Keepalive*3/4, 8*time.Millisecond), hosts: map[string]*hostPool{}}
@@ -69,8 +77,7 @@
 		// Nothing of the request is written yet, so to pass by a broken connection repeats nothing.
 		if p.Now()-c.idle < p.idleFor && sock.Quiet(c.Conn) {
 			c.SetDeadline(time.Time{})
-			c.uses++
-			c.idled = p.Now() - c.idle
+			c.kept = true
 			return c, nil
 		}
 		p.drop(c)
@@ -137,7 +144,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(c.host)
-	if p.ended || c.age != h.age {
+	if p.ended || c.age != h.age || p.Now() < p.doubtTill {
 		p.shut(c)
 		return
 	}
@@ -152,16 +159,41 @@
 	p.shut(c)
 }
 
+// doubt guards against kept connections that break under the next request, which then may have run: something on the
+// way, or the hosts themselves, drop them early and without a word. A new connection costs a little time instead.
+func (p *pool) doubt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
+	if now < p.doubtTill {
+		return // it was kept before that
+	}
+	if p.doubtFor *= 2; now-p.doubtTill > longestDoubt {
+		p.doubtFor = firstDoubt
+	}
+	p.doubtFor = min(max(p.doubtFor, firstDoubt), longestDoubt)
+	p.doubtTill = now + p.doubtFor
+	p.Log.Info("kept connections break: none kept for a while", "for", p.doubtFor)
+	for _, h := range p.hosts {
+		p.empty(h)
+	}
+}
+
+// empty closes what is idle to a host.
+func (p *pool) empty(h *hostPool) {
+	for _, c := range h.idle {
+		p.shut(c)
+	}
+	h.idle = nil
+}
+
 // forget closes what is idle to a host and keeps nothing that was opened before.
 func (p *pool) forget(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if h := p.hosts[name]; h != nil {
 		h.age++
-		for _, c := range h.idle {
-			p.shut(c)
-		}
-		h.idle = nil
+		p.empty(h)
 	}
 }
 
@@ -182,9 +214,6 @@
 	defer p.mu.Unlock()
 	p.ended = true
 	for _, h := range p.hosts {
-		for _, c := range h.idle {
-			p.shut(c)
-		}
-		h.idle = nil
+		p.empty(h)
 	}
 }
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -149,6 +149,7 @@
 	defer stop()
 	if n, err := conn.Write(request); err != nil {
 		c.pool.drop(conn)
+		c.broke(ctx, conn)
 		switch {
 		case n >= len(request):
 			return balance.Reset
@@ -166,12 +167,20 @@
 		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
 			return balance.Cancelled
 		}
-		c.Log.Debug("reset", "message", call.ID, "host", a.Host.Name, "uses", conn.uses, "idle", conn.idled, "err", err)
+		c.Log.Debug("reset", "message", call.ID, "host", a.Host.Name, "kept", conn.kept, "err", err)
+		c.broke(ctx, conn)
 		return balance.Reset
 	}
 	return outcome(answer)
 }
 
+// broke notes that a connection broke, unless this side ended what it carried.
+func (c *Client) broke(ctx context.Context, conn *conn) {
+	if conn.kept && ctx.Err() == nil {
+		c.pool.doubt()
+	}
+}
+
 // answer reads an answer with its body. It keeps the connection if it can be used again; stop ends what may still set
 // its deadlines, and where that has begun already the connection is not kept.
 func (c *Client) answer(conn *conn, stop func() bool) (*http1.Response, error) {
@@ -254,5 +263,6 @@
 		c.pool.forget(h.Name)
 		return nil, balance.TimedOut
 	}
+	c.broke(ctx, conn)
 	return nil, balance.Reset
 }
--- a/internal/south/south_test.go
+++ b/internal/south/south_test.go
@@ -132,6 +132,7 @@
 	unheard bool // the host gets no whole request
 	gives   bool // the host is told to give up
 	keeps   bool // the connection is used again
+	breaks  bool // it breaks under what it carries
 }
 
 const (
@@ -154,11 +155,11 @@
 	{answer: "HTTP/1.1 500 No\r\n" + declined, want: balance.Errored, keeps: true},
 	{answer: "HTTP/1.1 400 No\r\n" + empty, want: balance.Errored, keeps: true},
 	{answer: "HTTP/1.1 200 OK\r\n" + empty, want: balance.Errored, keeps: true},
-	{answer: "what?\r\n\r\n", want: balance.Reset},
+	{answer: "what?\r\n\r\n", want: balance.Reset, breaks: true},
 	{answer: "HTTP/1.1 202 Acc", thinks: soon, stop: owner.ErrWithdrawn, after: 2 * soon, want: balance.Cancelled},
-	{answer: "close", want: balance.Reset},
-	{reads: 1, want: balance.ConnectFailed, unheard: true},
-	{reads: 120, want: balance.ConnectFailed, unheard: true},
+	{answer: "close", want: balance.Reset, breaks: true},
+	{reads: 1, want: balance.ConnectFailed, unheard: true, breaks: true},
+	{reads: 120, want: balance.ConnectFailed, unheard: true, breaks: true},
 	{barred: true, want: balance.Moot, unheard: true, keeps: true},
 	{answer: "", stop: owner.ErrWithdrawn, after: time.Second, want: balance.Cancelled},
 	{answer: taken, thinks: 2 * soon, stop: owner.ErrSettled, after: soon}, // the host's word came first
@@ -167,7 +168,7 @@
 	{probe: true, answer: "HTTP/1.1 503 No\r\n" + empty, want: balance.Full, keeps: true},
 	{probe: true, answer: "HTTP/1.1 404 No\r\n" + empty, want: balance.Errored, keeps: true},
 	{probe: true, answer: "", want: balance.TimedOut},
-	{probe: true, answer: "close", want: balance.Reset},
+	{probe: true, answer: "close", want: balance.Reset, breaks: true},
 	{forget: true},
 	{pass: keepalive},
 	{pass: keepalive / 8, keeps: true},
@@ -190,6 +191,8 @@
 	to   owner.Host
 	kept bool          // the model's pool: whether there is an idle connection,
 	idle time.Duration // and since when, at the end of a step
+	// Kept connections have broken: none is kept until then, for so long.
+	doubtTill, doubtFor time.Duration
 }
 
 func within(t *testing.T, conns int, test func(*world)) {
@@ -264,11 +267,22 @@
 
 // model keeps what the pool must hold: at most one connection, as one step follows another.
 func (w *world) model(i int, s step) {
+	now := w.c.Now() - 2*time.Second + time.Millisecond
+	if w.kept && s.breaks {
+		w.doubtFor = min(2*w.doubtFor, longestDoubt)
+		if now-w.doubtTill > longestDoubt {
+			w.doubtFor = firstDoubt
+		}
+		w.doubtTill = now + w.doubtFor
+	}
+	if s.gives { // on a connection of its own
+		now += s.after
+	}
 	switch {
 	case s.pass > 0 || s.dial != "":
 		w.idle += s.pass + 2*time.Second
 	default:
-		w.kept, w.idle = s.keeps, 2*time.Second
+		w.kept, w.idle = s.keeps && now >= w.doubtTill, 2*time.Second
 	}
 	if w.idle >= keepalive*3/4 {
 		w.kept = false
@@ -289,6 +303,7 @@
 		all = append(all, byte(i), 0)
 	}
 	f.Add(all)
+	f.Add([]byte{0, 12, 0, 25, 25, 25, 0, 12, 0, 25, 25, 25, 25, 25, 0, 4, 0, 10, 0})
 	f.Add([]byte{0, 1, 25, 0, 24, 27, 28, 29, 30, 0, 13, 0, 14, 0, 26, 26, 26, 26, 26, 15})
 	f.Fuzz(func(t *testing.T, in []byte) {
 		within(t, 8, func(w *world) {
@@ -352,3 +367,36 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestStaleConnections guards against kept connections that something drops without a word: after the first that breaks
+// no other is tried for a while, at no host, and then they are kept again.
+func TestStaleConnections(t *testing.T) {
+	within(t, 8, func(w *world) {
+		for _, name := range []string{"s-1", "s-2"} {
+			w.to.Name = name
+			w.note(func() { w.act = step{answer: taken} })
+			ctx, stop := context.WithCancelCause(w.t.Context())
+			defer stop(owner.ErrSettled)
+			w.c.Send(ctx, w.attempt(false))
+			time.Sleep(soon)
+		}
+		if n := w.c.pool.count(); n != 2 {
+			t.Fatalf("%d connections kept", n)
+		}
+		w.note(func() { w.act = step{answer: "close"} })
+		w.c.Send(w.t.Context(), w.attempt(false))
+		time.Sleep(soon)
+		if n := w.c.pool.count(); n != 0 || len(w.status) != 1 || w.status[0] != balance.Reset {
+			t.Errorf("%d connections kept, statuses %v", n, w.status)
+		}
+		for _, want := range []int{0, 1} {
+			w.note(func() { w.act = step{answer: "HTTP/1.1 503 No\r\n" + declined} })
+			w.c.Send(w.t.Context(), w.attempt(false))
+			time.Sleep(soon)
+			if n := w.c.pool.count(); n != want {
+				t.Errorf("%d connections kept, want %d", n, want)
+			}
+			time.Sleep(firstDoubt)
+		}
+	})
+}
