--- a/internal/south/south_test.go
+++ b/internal/south/south_test.go
@@ -386,9 +386,11 @@
 		w.note(func() { w.act = step{answer: "close"} })
 		w.c.Send(w.t.Context(), w.attempt(false))
 		time.Sleep(soon)
-		if n := w.c.pool.count(); n != 0 || len(w.status) != 1 || w.status[0] != balance.Reset {
-			t.Errorf("%d connections kept, statuses %v", n, w.status)
-		}
+		w.note(func() {
+			if n := w.c.pool.count(); n != 0 || len(w.status) != 1 || w.status[0] != balance.Reset {
+				t.Errorf("%d connections kept, statuses %v", n, w.status)
+			}
+		})
 		for _, want := range []int{0, 1} {
 			w.note(func() { w.act = step{answer: "HTTP/1.1 503 No\r\n" + declined} })
 			w.c.Send(w.t.Context(), w.attempt(false))
