Count a job's aim by its hint, not by how long the hosts take for such work

At fault: Job in balance.go. Late jobs kept the worth and the place of those that could still be in time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -292,7 +292,11 @@
 	// A later try has less patience left than a first one; the aim counts from the first. One with less than
 	// its aim comes rather from a client with little time: to err costs a slot, else a job's whole worth.
 	d.first[r.class] = max(d.first[r.class], j.Left)
-	aim := r.c.Aim + seconds(r.c.Stretch*d.unit[r.class]*r.size)
+	work := d.unit[r.class] // the aim grows by the work itself, at speed 1: the hint, where there is one
+	if j.Hint > 0 {
+		work = r.size
+	}
+	aim := r.c.Aim + seconds(r.c.Stretch*work)
 	if r.aim = now + aim; j.Again || !d.s.MarksRetry && j.Left >= aim {
 		r.aim -= d.first[r.class] - j.Left
 	}
--- a/balance/untrue_test.go
+++ b/balance/untrue_test.go
@@ -402,3 +402,26 @@
 		t.Errorf("%d of 80 jobs went to a worker ten times as slow", n)
 	}
 }
+
+// TestAimByTheHint: the aim grows by the work itself, not by how long slow workers take for it.
+func TestAimByTheHint(t *testing.T) {
+	s := settings()
+	s.FreeSlots, s.Classes[0].LateWorth = -1, 0
+	h := newHost(t, s, fleet(1, 1)...)
+	job := func(id JobID) { h.d.Job(h.now, Job{ID: id, Left: 5 * time.Second, Slots: 1, Hint: time.Second}) }
+	for id := JobID(1); id <= 20; id++ {
+		job(id)
+		h.d.Started(h.now, id, 0)
+		h.run(h.now + 2*time.Second)
+		h.end(id, OK)
+	}
+	h.d.List(h.now, ListFull, nil)
+	from := h.now
+	for job(100); h.answered[100] == ""; {
+		h.run(h.now + 10*ms)
+	}
+	// 0.2 s and twice the second of work, less the 1.2 s that a fast worker would take
+	if took := h.now - from; took < 900*ms || took > 1100*ms {
+		t.Errorf("given up after %v", took)
+	}
+}
