Serve on for 1.7 s after SIGTERM, and bound a client's first request by 2.5 s

At debug level: the second dispatcher took nothing from 0.6 s after its SIGTERM on, and the first was back only 1.4 s after it. Clients keep using the connections that are open, and have nobody else then. At fault: the phases in cmd/liftgauge/serve.go, and north.Enter, which closed idle connections 0.45 s after SIGTERM. What comes after SIGTERM has its patience cut to 3.2 s after it, so the module answers it before a SIGKILL at 3.7 s. Bad clients are owed an error or a close within 3 s: a new connection without a request had 90 s, a request 5 s. Both now have 2.5 s, and up to 1 MiB (256 KiB before) is read after a closing answer.

--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -185,7 +185,7 @@
 			ctx, signal := context.WithCancel(t.Context())
 			signal()
 			leave(ctx, t.Context(), c, slog.New(slog.NewTextHandler(io.Discard, nil)))
-			if got := strings.Join(c.entered, ", "); got != "leaving at 0s, closing at 450ms, ending at 650ms" {
+			if got := strings.Join(c.entered, ", "); got != "leaving at 0s, closing at 1.7s, ending at 2s" {
 				t.Error(got)
 			}
 			if took := time.Since(c.start); took != max(open, leastEnd) {
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -22,13 +22,15 @@
 	"liftgauge/internal/south"
 )
 
-// How a planned end goes, counted from SIGTERM. New connections go on coming for up to 0.4 s; what comes later than
-// 0.7 s and is not answered before SIGKILL is lost.
+// How a planned end goes, counted from SIGTERM. New connections go on coming for up to 0.4 s, and clients use those that
+// they have for as long as these are open: in a rolling restart the dispatcher before may not be back yet, and then they
+// have nobody else. SIGKILL comes after 3.7 s at the earliest; what is not answered by then has failed, or is lost.
 const (
-	overlap  = 450 * time.Millisecond
-	lastCall = 650 * time.Millisecond
-	leastEnd = 750 * time.Millisecond
-	endTick  = 10 * time.Millisecond
+	overlap    = 1700 * time.Millisecond
+	lastCall   = 2 * time.Second
+	leastEnd   = 2100 * time.Millisecond
+	lastAnswer = 3200 * time.Millisecond
+	endTick    = 10 * time.Millisecond
 )
 
 // Descriptors that are neither clients' nor hosts' connections: the standard ones, the listener, discovery, the
@@ -93,7 +95,7 @@
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check})
 	clients := north.New(north.Config{Desk: sink, Classes: c.Classes, Limits: c.Settings.Classes,
-		MaxConns: c.Sockets - ownSockets - southConns, Now: now, Log: log})
+		MaxConns: c.Sockets - ownSockets - southConns, LastAnswer: lastAnswer, Now: now, Log: log})
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "hosts", len(known.Hosts))
 
 	// They end from the outside in: first nobody hands in messages, then nobody decides, then nobody sends.
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -62,12 +63,8 @@
 
 // serve answers requests until either side ends the connection. One that is over the limit gets one answer.
 func (c *conn) serve(full bool) {
-	for {
-		if full { // it must not keep the room for being turned away
-			c.SetReadDeadline(time.Now().Add(readLimit))
-		} else {
-			c.SetReadDeadline(time.Now().Add(idleLimit))
-		}
+	for limit := firstLimit; ; limit = idleLimit {
+		c.SetReadDeadline(time.Now().Add(limit))
 		var err error
 		if c.peeked != nil {
 			err = <-c.peeked
@@ -95,10 +92,7 @@
 			return
 		}
 		c.SetReadDeadline(time.Time{})
-		if !c.handle(head, body, full) || head.Close || full || c.s.at() >= Closing || !c.mark(true) {
-			return
-		}
-		if c.s.at() >= Closing { // it began between the two looks
+		if !c.handle(head, body, full) || !c.mark(true) {
 			return
 		}
 	}
@@ -146,13 +140,8 @@
 	if !ok || c.peeked != nil || half.CloseWrite() != nil {
 		return
 	}
-	c.SetReadDeadline(time.Now().Add(250 * time.Millisecond))
-	var sink [4 << 10]byte
-	for range 64 {
-		if _, err := c.Read(sink[:]); err != nil {
-			return
-		}
-	}
+	c.SetReadDeadline(time.Now().Add(lingerLimit))
+	io.CopyN(io.Discard, c.Conn, lingerMost)
 }
 
 // handle answers one request. False says that the connection ends.
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -19,9 +19,13 @@
 )
 
 const (
-	idleLimit  = 90 * time.Second // of a connection between requests
-	readLimit  = 5 * time.Second  // of a request, from its first byte
-	writeLimit = 5 * time.Second  // of an answer: a client that reads nothing holds nothing for longer
+	idleLimit  = 90 * time.Second        // of a connection between requests
+	firstLimit = 2500 * time.Millisecond // of a new one before its first request: clients connect to send
+	readLimit  = 2500 * time.Millisecond // of a request, from its first byte
+	// Of a connection that is closing, for what is still on the way: a large body must not cost its sender the answer.
+	lingerLimit = 500 * time.Millisecond
+	lingerMost  = 1 << 20
+	writeLimit  = 5 * time.Second // of an answer: a client that reads nothing holds nothing for longer
 )
 
 // Desk takes messages and call-backs.
@@ -37,8 +41,10 @@
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
-	Now      func() time.Duration
-	Log      *slog.Logger
+	// LastAnswer is how long after the beginning of a planned end what is taken in it must be answered.
+	LastAnswer time.Duration
+	Now        func() time.Duration
+	Log        *slog.Logger
 }
 
 // Phase is how far a planned end has come.
@@ -48,8 +54,8 @@
 const (
 	Serving Phase = iota
 	Leaving       // not ready any more, but serving as before: the front has yet to notice
-	Closing       // connections close after their answer; new ones are still taken, for call-backs above all
-	Ending        // new messages get a back-off answer: they could not be finished
+	Closing       // connections close after their next answer; new ones are still taken, for call-backs above all
+	Ending        // idle connections are closed, and new messages get a back-off answer: they could not be finished
 )
 
 func (p Phase) String() string {
@@ -61,6 +67,7 @@
 	Config
 	classes map[string]int
 	phase   atomic.Int32
+	last    atomic.Int64 // the time by which what is taken in a planned end must be answered
 	open    atomic.Int64 // messages taken and not answered
 	slots   chan struct{}
 	mu      sync.Mutex
@@ -87,8 +94,11 @@
 
 // Enter begins a phase.
 func (s *Server) Enter(p Phase) {
+	if p == Leaving {
+		s.last.Store(int64(s.Now() + s.LastAnswer))
+	}
 	s.phase.Store(int32(p))
-	if p >= Closing {
+	if p >= Ending {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.conns {
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -45,6 +45,7 @@
 	answers []string // status and body
 	closed  bool
 	idle    time.Duration
+	used    bool
 }
 
 // world holds a server, the desk that it reports to, and the client whose turn it is.
@@ -132,7 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, l: pipes{make(chan net.Conn)}}
 		limit := []balance.Class{{Limit: 5 * time.Second}, {Limit: 5 * time.Second}}
-		w.s = New(Config{Desk: w, Classes: []string{"gauge-reading", "send-warning"}, Limits: limit, MaxConns: conns,
+		w.s = New(Config{Desk: w, Classes: []string{"gauge-reading", "send-warning"}, Limits: limit, MaxConns: conns, LastAnswer: 3 * time.Second,
 			Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -195,6 +196,7 @@
 	{send: "POST /send-warning HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", want: "413 body too large", ends: true},
 	{send: job + "\r\nhi", wait: readLimit, want: "408", ends: true},
 	{send: "", wait: idleLimit},
+	{send: "", wait: time.Second},
 	{send: "", wait: idleLimit / 2},
 }
 
@@ -220,10 +222,14 @@
 		w.client = w.dial()
 	}
 	w.desk, w.answers = s.set, nil
+	limit := firstLimit
+	if w.used {
+		limit = idleLimit
+	}
 	if w.idle += s.wait + time.Second/2; s.send == "" {
-		s.ends = w.idle >= idleLimit
+		s.ends = w.idle >= limit
 	} else {
-		w.idle = time.Second / 2
+		w.idle, w.used = time.Second/2, true
 	}
 	if cut = min(cut, len(s.send)); cut > 0 {
 		w.send(s.send[:cut])
@@ -272,7 +278,9 @@
 		w.desk = desk{silent: true}
 		w.send(job + "\r\nhigh")
 		waiting, m := w.client, w.taken[0]
-		idle := w.dial()
+		idle, other := w.dial(), w.dial()
+		w.client = other
+		w.play(step{send: callback(report), want: "204", open: 1}, 0)
 		w.s.Enter(Leaving)
 		w.client = idle
 		w.play(step{send: "GET /-/ready HTTP/1.1\r\n\r\n", want: "503", open: 1}, 0)
@@ -282,11 +290,20 @@
 		}
 		w.s.Enter(Closing)
 		synctest.Wait()
-		if !idle.closed || waiting.closed {
-			t.Errorf("idle closed %v, waiting closed %v", idle.closed, waiting.closed)
+		if idle.closed || other.closed {
+			t.Errorf("idle closed %v, %v: their clients may have nobody else", idle.closed, other.closed)
+		}
+		w.play(step{send: job + "\r\nhigh", set: desk{answer: owner.Answer{Kind: owner.Served}}, want: "200", ends: true, taken: 1, open: 1}, 0)
+		// A second of the three is over, and the client would wait for five.
+		if left := w.taken[0].Job.Left; left != 2*time.Second {
+			t.Errorf("patience %v with two seconds to the last answer", left)
 		}
 		w.play(step{send: callback(report), want: "204", ends: true, open: 1}, 0)
 		w.s.Enter(Ending)
+		synctest.Wait()
+		if !other.closed || waiting.closed {
+			t.Errorf("idle closed %v, waiting closed %v", other.closed, waiting.closed)
+		}
 		w.play(step{send: job + "\r\nhigh", want: "503", ends: true, open: 1}, 0)
 		m.Reply(owner.Answer{Kind: owner.Served, Result: []byte("late")})
 		w.wait(time.Second)
