Count a job's start as due from its writing, and later on a fresh connection

Nearly every start at another zone counted as a wait: on new connections starts take 80 to 120 ms there, on kept ones 27 to 41. At fault: look and Started in balance.go took every start later than a sixth of the connect time-out (42 ms) for a queue, and each look at it drew k down; pool.doubt kept it so, as resets under a request that had begun count as stale ones. Now the south side tells when an attempt is written and on which kind of connection (Owner.Written); a start is due from there on, three ways later on a fresh one; and where new connections break as well the doubt of kept ones ends.

--- a/balance/api.go
+++ b/balance/api.go
@@ -65,6 +65,7 @@
 	LiveWeights    bool // listed weights fall with the load at the worker
 	RoughWeights   bool // listed weights are the size, more or less
 	TellsStart     bool // workers tell when a job starts
+	TellsWritten   bool // the host tells by Written when an attempt is on its way; else it is so at once
 	ProbeForLoad   bool // load reports come with probes only
 	WorthByWork    bool // worth counts for each unit of work, not for each job
 	LateShedding   bool // workers also answer 'full' for work that they had begun: it proves nothing
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -278,6 +278,9 @@
 	}
 	w.turn = d.count
 	r.tries = append(r.tries, attempt{w: w, sent: now, out: true})
+	if !d.s.TellsWritten {
+		r.tries[len(r.tries)-1].wrote = now
+	}
 	r.out++
 	d.take(now, w, r.need)
 	d.do.Send(r.ID, w.ID, 0)
@@ -349,11 +352,22 @@
 	}
 }
 
+// Written notes that an attempt is on its way. Its start is due only from here on, and three ways there and
+// back later on a new connection, which takes time: that is no sign of a queue.
+func (d *Dispatcher) Written(now time.Duration, id JobID, n int, fresh bool) {
+	if r, a := d.find(id, n); a != nil && a.out {
+		if a.wrote = now; fresh {
+			a.wrote += 3 * d.patience
+		}
+		d.wake(now, r)
+	}
+}
+
 // Started notes that an attempt runs. One that did so at once had room.
 func (d *Dispatcher) Started(now time.Duration, id JobID, n int) {
 	if _, a := d.find(id, n); a != nil {
 		a.wait(false)
-		if a.started, a.began = true, now; now-a.sent < d.patience {
+		if a.started, a.began = true, now; a.wrote == 0 || now-a.wrote < d.patience {
 			d.saw(now, a.w, false)
 		}
 	}
@@ -548,8 +562,9 @@
 	if !r.late {
 		at = min(at, d.turnsLate(r))
 	}
-	if i := len(r.tries) - 1; r.out > 0 && d.s.TellsStart && !r.tries[i].started && !r.tries[i].called {
-		at = min(at, max(r.tries[i].sent+d.patience, now+d.tick))
+	if i := len(r.tries) - 1; r.out > 0 && d.s.TellsStart && r.tries[i].wrote > 0 &&
+		!r.tries[i].started && !r.tries[i].called {
+		at = min(at, max(r.tries[i].wrote+d.patience, now+d.tick))
 	}
 	if at = max(at, now+d.s.Tick); r.due == 0 || at < r.due { // a look already asked for stays
 		r.due = at
@@ -578,7 +593,8 @@
 		return
 	}
 	i := len(r.tries) - 1
-	if r.out > 0 && d.s.TellsStart && !r.tries[i].started && now-r.tries[i].sent >= d.patience {
+	if r.out > 0 && d.s.TellsStart && r.tries[i].wrote > 0 && !r.tries[i].started &&
+		now-r.tries[i].wrote >= d.patience {
 		// It waits there. A safe job is taken back if another has room, but for the last two attempts, as it
 		// may run on all the same, and not where many are turned away: rooms are short there and it is next.
 		a := &r.tries[i]
--- a/balance/state.go
+++ b/balance/state.go
@@ -60,9 +60,10 @@
 	w            *worker
 	sent, began  time.Duration
 	out, started bool
-	called       bool // withdrawn
-	waits        bool // it has not started in time
-	clean        bool // known never to have run
+	called       bool          // withdrawn
+	waits        bool          // it has not started in time
+	wrote        time.Duration // when it was on its way; 0: not yet
+	clean        bool          // known never to have run
 }
 
 type request struct {
--- a/balance/untrue_test.go
+++ b/balance/untrue_test.go
@@ -363,6 +363,28 @@
 	}
 }
 
+// TestFreshConnectionIsNoQueue: the start of what goes out on a new connection is due later than on one that was kept,
+// and of what is not written yet it is not due at all.
+func TestFreshConnectionIsNoQueue(t *testing.T) {
+	s := settings()
+	s.FreeSlots, s.TellsWritten = -1, true
+	for _, c := range []struct{ written, fresh, waits bool }{{false, false, false}, {true, true, false}, {true, false, true}} {
+		h := newHost(t, s, fleet(1, 1)...)
+		h.job(1, 0) // safe: it is taken back where it waits
+		if c.written {
+			h.d.Written(h.now, 1, 0, c.fresh)
+		}
+		h.run(h.now + 50*ms) // three times the patience
+		if waits := slices.Contains(h.acts, "cancel 1 0"); waits != c.waits {
+			t.Errorf("written %v, fresh %v: waits %v", c.written, c.fresh, waits)
+		}
+		h.run(h.now + 50*ms)
+		if waits := slices.Contains(h.acts, "cancel 1 0"); waits != c.written {
+			t.Errorf("written %v, fresh %v: waits %v in the end", c.written, c.fresh, waits)
+		}
+	}
+}
+
 // TestKeyedJobGoesBackWhereAlone: in a cell of one worker a job that may have run has nowhere else to go.
 func TestKeyedJobGoesBackWhereAlone(t *testing.T) {
 	h := newHost(t, settings(), Worker{ID: 1, Weight: 1}, Worker{ID: 2, Weight: 1, Cell: 1})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -79,7 +79,7 @@
 
 // South carries attempts to the hosts.
 type South interface {
-	// Send carries out an attempt until its context ends, and reports by Owner.Ended. ErrWithdrawn asks it to give the
+	// Send carries out an attempt until its context ends, and reports by Owner.Written and Owner.Ended. ErrWithdrawn asks it to give the
 	// attempt up at the host and then report Cancelled, unless another outcome comes first.
 	Send(ctx context.Context, a *Attempt)
 	// Probe asks for a host's health and reports by Owner.Probed.
@@ -173,7 +173,9 @@
 	o.ctx = ctx
 	now := o.Now()
 	o.wheel = wheel.New[timer](o.Settings.Tick, now)
-	o.module = balance.New(o.Settings, o.Seed, actions{o})
+	settings := o.Settings
+	settings.TellsWritten = true
+	o.module = balance.New(settings, o.Seed, actions{o})
 	o.wheel.Add(now+tellEvery, timer{tell: true})
 	o.module.Start(now)
 	o.list(now, balance.ListCached, o.Known)
@@ -293,6 +295,15 @@
 	return o.offer(func(now time.Duration) { o.reported(now, r) })
 }
 
+// Written says that the last byte of an attempt is on its way, on a fresh connection or on one that had been used.
+func (o *Owner) Written(a *Attempt, fresh bool) {
+	o.post(func(now time.Duration) {
+		if !a.over {
+			o.module.Written(now, a.open.id, a.number, fresh)
+		}
+	})
+}
+
 // Ended says how an attempt ended on the way, or that its withdrawal is done.
 func (o *Owner) Ended(a *Attempt, status balance.Status) {
 	o.post(func(now time.Duration) { o.ended(now, a, status, nil) })
--- a/internal/south/pool.go
+++ b/internal/south/pool.go
@@ -179,6 +179,13 @@
 	}
 }
 
+// trust ends the doubt: new connections break as well, so it is not their age that breaks kept ones.
+func (p *pool) trust() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doubtTill, p.doubtFor = 0, 0
+}
+
 // empty closes what is idle to a host.
 func (p *pool) empty(h *hostPool) {
 	for _, c := range h.idle {
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -26,6 +26,7 @@
 
 // Sink takes what became of attempts and probes.
 type Sink interface {
+	Written(a *owner.Attempt, fresh bool)
 	Ended(a *owner.Attempt, status balance.Status)
 	Probed(h owner.Host, status balance.Status)
 }
@@ -158,6 +159,7 @@
 		}
 		return balance.ConnectFailed
 	}
+	c.Sink.Written(a, !conn.kept)
 	// A host that says nothing may be cut off, and then its idle connections are as silent as this one: what is sent on
 	// them counts as perhaps run for as long as the client waits. A new connection shows at once whether it is there.
 	doubt := time.AfterFunc(c.ConnectTimeout, func() { c.pool.forget(a.Host.Name) })
@@ -176,8 +178,12 @@
 
 // broke notes that a connection broke, unless this side ended what it carried.
 func (c *Client) broke(ctx context.Context, conn *conn) {
-	if conn.kept && ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case conn.kept:
 		c.pool.doubt()
+	default:
+		c.pool.trust()
 	}
 }
 
