Try a watch that broke off again after a short pause, and call it silent after 3 s

At fault: ended in inventory.go told the module of a failed call in that case, and the module, which takes it for a busy service, asks again only after 0 to 4 s; with the 4.5 s of silence before, that is past the 6 s after which all counts as told. Now what discovery had answered and broke off is tried again after 0.1 s, then twice as long up to 2 s, and a watch is silent a second after a missed beat. Calls that discovery does not take are still left to the module.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,6 +1,6 @@
 // Package inventory follows the list of south side hosts: it watches discovery and hands every list to the owner. A
-// watch that had worked and broke is made anew at once, and once; where that fails the module hears of it and asks
-// again when it sees fit. Where discovery moves to another address, the watch there is tried until it works, and the one
+// watch that had worked for a while and broke is made anew at once, and one that broke sooner after a short pause. Where
+// discovery does not take the call the module hears of it and asks again when it sees fit. Where discovery moves to another address, the watch there is tried until it works, and the one
 // that stands is kept until then.
 package inventory
 
@@ -25,12 +25,13 @@
 
 const (
 	answerWithin = 2500 * time.Millisecond // discovery handles calls in turn: one may wait
-	silence      = 4500 * time.Millisecond // a watch sends something every 2 s: with two beats missed it is broken
+	silence      = 3 * time.Second         // a watch sends something every 2 s: with a beat missed by a second it is broken
 	lasting      = time.Second             // what broke sooner is not made anew at once: it may break again and again
 	maxLine      = 4 << 20
 
-	// Of a move: all that discovery has to tell counts as told 4 s after it. The first tries are close together, and one
-	// that gets no answer makes room for the next.
+	// Of what is tried again: all that discovery has to tell counts as told 4 s after a move, and 6 s after it has changed
+	// even if the watch was silent then. The first tries are close together, and one that gets no answer makes room for
+	// the next.
 	moveWithin  = 1200 * time.Millisecond
 	firstPause  = 100 * time.Millisecond
 	longerPause = 2 * time.Second
@@ -83,7 +84,7 @@
 // New returns a Client that holds a list of the given version.
 func New(address string, since int64, zones, kinds []string, log *slog.Logger) *Client {
 	var dialer net.Dialer
-	return &Client{address: address, since: since, Zones: zones, Kinds: kinds, Log: log,
+	return &Client{address: address, since: since, Zones: zones, Kinds: kinds, Log: log, pause: firstPause,
 		asked: make(chan struct{}, 1), moved: make(chan string, 1), events: make(chan event),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -125,6 +126,7 @@
 			return nil
 		case <-c.asked:
 			if !c.moving { // else the new address is being tried already
+				c.retry.Stop()
 				c.end(c.standing)
 				c.standing = c.start(ctx, answerWithin)
 			}
@@ -137,7 +139,11 @@
 				c.next = c.start(ctx, moveWithin)
 			}
 		case <-c.retry.C:
-			c.next = c.start(ctx, moveWithin)
+			if w := c.start(ctx, moveWithin); c.moving {
+				c.next = w
+			} else {
+				c.standing = w
+			}
 		case e := <-c.events:
 			switch {
 			case e.from != c.standing && e.from != c.next: // ended by this side
@@ -191,19 +197,30 @@
 	switch {
 	case w == c.next:
 		c.next = nil
-		c.retry.Reset(c.pause)
-		c.pause = min(2*c.pause, longerPause)
+		c.again()
 	case c.moving: // the old address is done with
 		c.standing = nil
 	case w.worked && time.Since(w.began) >= lasting:
 		// While it was silent changes may have been missed that count as told some seconds later: no time to lose.
+		c.pause = firstPause
 		c.standing = c.start(ctx, answerWithin)
+	case errors.Is(e.err, errBroken):
+		// Discovery is there, but its lists break off. To leave the next try to the module, which takes a failed call for a
+		// busy service and waits for seconds, let hosts that drained in the meantime get messages.
+		c.standing = nil
+		c.again()
 	default:
 		c.standing = nil
 		c.Sink.List(balance.ListFailed, nil)
 	}
 }
 
+// again asks for a try after a pause, which grows.
+func (c *Client) again() {
+	c.retry.Reset(c.pause)
+	c.pause = min(2*c.pause, longerPause)
+}
+
 // start begins a watch at the present address from the version held.
 func (c *Client) start(ctx context.Context, within time.Duration) *watch {
 	ctx, stop := context.WithCancel(ctx)
@@ -223,7 +240,10 @@
 	return w
 }
 
-var errBadLine = errors.New("bad line")
+var (
+	errBadLine = errors.New("bad line")
+	errBroken  = errors.New("broke off") // after discovery had taken the call
+)
 
 // follow makes a watch and hands on what it tells until it ends.
 func (c *Client) follow(ctx context.Context, w *watch, tell func(*List) bool) error {
@@ -255,7 +275,7 @@
 		conn.SetReadDeadline(time.Now().Add(silence))
 		line, err := readLine(lines)
 		if err != nil {
-			return fmt.Errorf("read: %w", err)
+			return fmt.Errorf("%w: %w", errBroken, err)
 		}
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			if !tell(nil) {
@@ -265,7 +285,7 @@
 		}
 		list, err := decoder.Decode(line)
 		if err != nil { // the last good list holds on, and the next watch starts from its version
-			return fmt.Errorf("%w: %w", errBadLine, err)
+			return fmt.Errorf("%w: %w: %w", errBroken, errBadLine, err)
 		}
 		if !tell(&list) {
 			return ctx.Err()
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -146,10 +146,23 @@
 		conn := s.accept()
 		chunk(conn, line(43, true, "SERVING"))
 		conn.Close()
-		time.Sleep(time.Minute)
-		synctest.Wait()
-		if s.dials != 1 || len(s.lists) != 2 || s.lists[1] != "kind 3" {
-			t.Errorf("%d dials, lists %q", s.dials, s.lists)
+		began := time.Now()
+		for range 10 {
+			fmt.Fprint(s.accept(), "3\r\n{\"r\r\n0\r\n\r\n") // a list that stops short
+		}
+		if took := time.Since(began); took < 5*longerPause || took > 8*longerPause {
+			t.Errorf("ten tries in %v", took)
+		}
+		conn = s.accept() // this one lasts
+		chunk(conn, line(44, false, "DRAINING"))
+		time.Sleep(lasting)
+		conn.Close()
+		began = time.Now()
+		conn = s.accept()
+		conn.Close() // and its successor does not: a drain that it had to tell must not wait for seconds
+		s.accept()
+		if took := time.Since(began); took > firstPause || len(s.lists) != 2 {
+			t.Errorf("two tries in %v, lists %q", took, s.lists)
 		}
 	})
 }
