Add the control address with readiness and figures, and a drain that can be called back

Ruled out that the planned end's phases could serve: they only go forward. Figures are atomics where the thing happens.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -203,9 +203,7 @@
 		(w.Zone != a.w.Zone || r.c.Group == GroupCell && w.Cell != a.w.Cell) {
 		return false
 	}
-	drown := len(d.sick)*2 > len(d.sorted) // the rest would, if all that erred were out
-	out := w.down || now < w.outTill && (w.cut || !drown)
-	if out || !d.allowed(w) || !d.trusted(r, w) || !d.ramp(now, w, scheduled) {
+	if d.out(now, w) || !d.allowed(w) || !d.trusted(r, w) || !d.ramp(now, w, scheduled) {
 		return false
 	}
 	for _, a := range r.tries {
@@ -216,6 +214,24 @@
 	return true
 }
 
+// out: this dispatcher avoids the worker by its own experience.
+func (d *Dispatcher) out(now time.Duration, w *worker) bool {
+	drown := len(d.sick)*2 > len(d.sorted) // the rest would, if all that erred were out
+	return w.down || now < w.outTill && (w.cut || !drown)
+}
+
+// Fleet counts the listed workers, and those of them that this dispatcher avoids.
+func (d *Dispatcher) Fleet(now time.Duration) (listed, avoided int) {
+	for _, w := range d.known {
+		if w.State != Gone {
+			if listed++; d.out(now, w) {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
 // route follows the period: the scheduled worker, or past k the next ready one in fixed order, wrapping;
 // where crossings have a price the period of the own zone first, that of all only past k there. Doubtful
 // workers come after all others.
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"liftgauge/internal/config"
+	"liftgauge/internal/control"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/inventory"
 	"liftgauge/internal/north"
@@ -37,6 +38,25 @@
 // runtime's own, and some to spare.
 const ownSockets = 14
 
+// callers is how many operators may be connected at a time: their places are their own, whatever clients hold.
+func callers(c *config.Config) int {
+	if c.Control == "" {
+		return 0
+	}
+	return min(max(c.Sockets/32, 4), 16)
+}
+
+// room shares out the descriptors. A client holds its connection for as long as its job runs, a host only until it has
+// taken the job.
+func room(c *config.Config) (northConns, southConns int) {
+	own := ownSockets
+	if n := callers(c); n > 0 {
+		own += n + 2 // the listener, and one caller who is to be let in or turned away
+	}
+	southConns = max((c.Sockets-own)/4, 1)
+	return c.Sockets - own - southConns, southConns
+}
+
 // clock returns a monotonic clock that counts from the Unix epoch, so that times on the list compare with it. A step of
 // the wall clock after the start does not move it.
 func clock() func() time.Duration {
@@ -83,11 +103,16 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	var calls net.Listener
+	if c.Control != "" {
+		if calls, err = listen.Listen(ctx, "tcp", c.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
 	now := clock()
 	check := &invariant.Checker{Log: log}
 	sink := &lateSink{}
-	// A client holds its connection for as long as its job runs, a host only until it has taken the job.
-	southConns := (c.Sockets - ownSockets) / 4
+	northConns, southConns := room(c)
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
@@ -95,7 +120,7 @@
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check})
 	clients := north.New(north.Config{Desk: sink, Classes: c.Classes, Limits: c.Settings.Classes,
-		MaxConns: c.Sockets - ownSockets - southConns, LastAnswer: lastAnswer, Now: now, Log: log})
+		MaxConns: northConns, LastAnswer: lastAnswer, Now: now, Log: log})
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "hosts", len(known.Hosts))
 
 	// They end from the outside in: first nobody hands in messages, then nobody decides, then nobody sends.
@@ -103,6 +128,11 @@
 	defer end()
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return clients.Run(run, listener) })
+	if calls != nil {
+		operators := control.New(control.Config{Callers: callers(c), Ready: clients.Ready, Drain: clients.Drain, Log: log,
+			Figures: func() control.Figures { return figures(c, clients, sink.Owner) }})
+		group.Go(func() error { return operators.Run(run, calls) })
+	}
 	group.Go(func() error { return list.Run(run) })
 	owned, ownerEnds := context.WithCancel(context.Background())
 	group.Go(func() error {
@@ -122,6 +152,17 @@
 	return group.Wait()
 }
 
+// figures gathers the counts, each from where the thing is counted.
+func figures(c *config.Config, clients *north.Server, o *owner.Owner) control.Figures {
+	f := control.Figures{Forwards: o.Forwards(), Outstanding: clients.Outstanding()}
+	f.Discovered, f.Ejected = o.Fleet()
+	for i, name := range c.Classes {
+		r := clients.Results(i)
+		f.Classes = append(f.Classes, control.Class{Name: name, Succeeded: r.Succeeded, Declined: r.Declined, Aborted: r.Aborted})
+	}
+	return f
+}
+
 // reload reads the configuration anew at every signal, until the context ends. All of it is decoded and checked before
 // any of it counts: of a file that cannot be used nothing does. Only discovery can change while the program runs.
 func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, getenv func(string) string, move func(address string),
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string // where operators call; empty for nowhere
 	Seed      uint64
 	Memory    int64 // bytes
 	Sockets   int
@@ -78,6 +79,7 @@
 	}{
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
+		{"control", c.Control == next.Control},
 		{"seed", c.Seed == next.Seed},
 		{"limits", c.Memory == next.Memory && c.Sockets == next.Sockets},
 		{"settings", c.Keepalive == next.Keepalive && c.Probes == next.Probes && slices.Equal(c.Classes, next.Classes) &&
@@ -102,6 +104,7 @@
 		Name:      cmp.Or(getenv("LB_NAME"), root.Text("name")),
 		Listen:    cmp.Or(getenv("LB_LISTEN"), root.Text("listen")),
 		Discovery: cmp.Or(getenv("LB_DISCOVERY"), root.Text("discovery")),
+		Control:   cmp.Or(getenv("LB_CONTROL"), root.Text("control")),
 		listed:    root.Text("discovery"),
 		Known:     root.Raw("known"),
 	}
@@ -138,7 +141,10 @@
 }
 
 func (c *Config) check() error {
-	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"control", c.Control}} {
+		if a.field == "control" && a.value == "" {
+			continue // operators need not call
+		}
 		host, port, err := net.SplitHostPort(a.value)
 		if _, bad := strconv.ParseUint(port, 10, 16); err != nil || bad != nil || host == "" {
 			return fmt.Errorf("%s: want host:port, have %q", a.field, a.value)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -36,6 +36,7 @@
 		"LB_CONFIG":                         {`{"name"`, `["name"`},
 		"listen":                            {`127.0.0.1:8443`, `127.0.0.1`},
 		"discovery":                         {`127.0.0.1:8500`, `127.0.0.1:http`},
+		"control":                           {`"new":[]`, `"control":"nowhere"`},
 		"seed":                              {`8c1f30d27a5be964`, `xyz`},
 		"limits.memory_mb":                  {`2048`, `"much"`},
 		"limits.sockets":                    {`512`, `3`},
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,235 @@
+// Package control is where operators call: a second listener with its own few connections, on which a call waits for
+// nothing that clients and hosts can hold up. It speaks HTTP/1.1, one call a connection.
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"liftgauge/internal/http1"
+)
+
+const (
+	callWithin   = 2 * time.Second        // a caller's whole call, from its connect: who says nothing holds no place for longer
+	applyWithin  = 900 * time.Millisecond // what a call asks for: callers wait 1 s
+	answerWithin = time.Second
+	lingerFor    = 200 * time.Millisecond
+	lingerMost   = 64 << 10
+	acceptPause  = 10 * time.Millisecond
+)
+
+// Config is what a Server needs. The functions may be called by several callers at once.
+type Config struct {
+	Callers int // how many may be connected
+	// Ready says whether the process takes clients.
+	Ready func() bool
+	// Figures reads the counts. It must not wait.
+	Figures func() Figures
+	// Offline leaves a host out or, with false, lets it serve again; it returns once that is applied. Known says whether
+	// the host was ever listed.
+	Offline func(ctx context.Context, id string, out bool) (known bool, err error)
+	// Drain sends clients away or, with false, takes them again.
+	Drain func(on bool)
+	Log   *slog.Logger
+}
+
+// Server answers the operators' calls.
+type Server struct {
+	Config
+	mu      sync.Mutex
+	callers map[*caller]struct{}
+	room    chan struct{}
+}
+
+// caller is one connection.
+type caller struct {
+	net.Conn
+	since time.Time
+	busy  bool // its call is being carried out: it may not be sent away. Guarded by the server's lock.
+}
+
+// New returns a Server.
+func New(c Config) *Server {
+	return &Server{Config: c, callers: map[*caller]struct{}{}, room: make(chan struct{}, max(c.Callers, 1))}
+}
+
+// Run answers calls until the context ends.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	var calls errgroup.Group
+	defer context.AfterFunc(ctx, func() {
+		l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.callers {
+			c.Close()
+		}
+	})()
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return calls.Wait()
+			}
+			s.Log.Warn("control: accept", "err", err)
+			select {
+			case <-time.After(acceptPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case s.room <- struct{}{}:
+		default:
+			// Callers who say nothing must not keep out those who do.
+			s.sendAway()
+			select {
+			case s.room <- struct{}{}:
+			case <-ctx.Done():
+				raw.Close()
+				return calls.Wait()
+			}
+		}
+		c := &caller{Conn: raw, since: time.Now()}
+		s.mu.Lock()
+		s.callers[c] = struct{}{}
+		if ctx.Err() != nil {
+			c.Close()
+		}
+		s.mu.Unlock()
+		calls.Go(func() error {
+			defer func() {
+				c.Close()
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				delete(s.callers, c)
+				<-s.room
+			}()
+			s.serve(ctx, c)
+			return nil
+		})
+	}
+}
+
+// sendAway closes the connection of the caller who has been silent longest.
+func (s *Server) sendAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *caller
+	for c := range s.callers {
+		if !c.busy && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.Close()
+	}
+}
+
+func (s *Server) mark(c *caller, busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.busy = busy
+}
+
+// serve reads one call and answers it.
+func (s *Server) serve(ctx context.Context, c *caller) {
+	c.SetDeadline(c.since.Add(callWithin))
+	r := http1.NewReader(c)
+	status, fields, body := 0, http1.Fields(nil), []byte(nil)
+	call, err := r.ReadRequest()
+	if err == nil {
+		_, err = r.ReadBody(&call.Head, http1.MaxBody)
+	}
+	var e *http1.Error
+	var timeout net.Error
+	switch {
+	case err == nil:
+		s.mark(c, true)
+		status, fields, body = s.call(ctx, call)
+		s.mark(c, false)
+	case errors.As(err, &e):
+		status, body = e.Status, []byte(e.Reason+"\n")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = 408
+	default:
+		return // it left
+	}
+	c.SetDeadline(time.Now().Add(answerWithin))
+	fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
+	if _, err := c.Write(http1.AppendResponse(nil, status, fields, body)); err != nil {
+		return
+	}
+	// To close with bytes unread would reset the answer away.
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(lingerFor))
+		io.CopyN(io.Discard, c, lingerMost)
+	}
+}
+
+// call carries out one call.
+func (s *Server) call(ctx context.Context, call *http1.Request) (status int, fields http1.Fields, body []byte) {
+	method, act := "POST", func() {}
+	status = 204
+	switch call.Path {
+	case "/control/ready":
+		method, act = "GET", func() {
+			if status = 200; !s.Ready() {
+				status = 503
+			}
+		}
+	case "/control/counters":
+		method, act = "GET", func() {
+			status, body = 200, s.Figures().Append(nil)
+			fields = http1.Fields{{Name: "Content-Type", Value: "text/plain; version=0.0.4"}}
+		}
+	case "/control/out-of-service":
+		act = func() { s.Drain(true) }
+	case "/control/in-service":
+		act = func() { s.Drain(false) }
+	default:
+		id, out, ok := hostCall(call.Path)
+		if !ok || s.Offline == nil {
+			return 404, nil, []byte("unknown path\n")
+		}
+		act = func() { status, body = s.host(ctx, id, out) }
+	}
+	if call.Method != method {
+		return 405, http1.Fields{{Name: "Allow", Value: method}}, nil
+	}
+	act()
+	return status, fields, body
+}
+
+// hostCall takes a path of the form /control/workers/ID/offline or online apart.
+func hostCall(path string) (id string, out, ok bool) {
+	rest, ok := strings.CutPrefix(path, "/control/workers/")
+	if !ok {
+		return "", false, false
+	}
+	name, verb, _ := strings.Cut(rest, "/")
+	id, err := url.PathUnescape(name)
+	return id, verb == "offline", err == nil && id != "" && (verb == "offline" || verb == "online")
+}
+
+func (s *Server) host(ctx context.Context, id string, out bool) (status int, body []byte) {
+	ctx, stop := context.WithTimeout(ctx, applyWithin)
+	defer stop()
+	switch known, err := s.Offline(ctx, id, out); {
+	case err != nil:
+		s.Log.Error("control: call not applied", "host", id, "offline", out, "err", err)
+		return 503, []byte("not applied\n")
+	case !known:
+		return 404, []byte("no host of that id was ever listed\n")
+	}
+	s.Log.Info("control", "host", id, "offline", out)
+	return 204, nil
+}
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -64,6 +64,9 @@
 // serve answers requests until either side ends the connection. One that is over the limit gets one answer.
 func (c *conn) serve(full bool) {
 	for limit := firstLimit; ; limit = idleLimit {
+		if c.s.at() >= Ending {
+			limit = endLimit
+		}
 		c.SetReadDeadline(time.Now().Add(limit))
 		var err error
 		if c.peeked != nil {
@@ -187,22 +190,28 @@
 func (c *conn) await(m *owner.Message, last, full bool) bool {
 	c.s.open.Add(1)
 	defer c.s.open.Add(-1)
+	c.s.taken.Add(1)
+	class := m.Job.Class
 	reply := make(chan owner.Answer, 1)
 	m.Reply = func(a owner.Answer) { reply <- a }
 	// What is turned away here has reached no host: trying again is harmless.
 	if full || c.s.at() >= Ending || !c.s.Desk.Submit(m) {
+		c.s.end(class, declined)
 		return c.finish(503, last, nil, nil)
 	}
 	gone := c.peek()
 	for {
 		select {
 		case a := <-reply:
+			c.s.end(class, [...]int{owner.Failed: aborted, owner.Served: succeeded, owner.BackOff: declined}[a.Kind])
 			return c.give(a, last || c.s.at() >= Closing)
 		case <-c.s.ended: // the program ends without waiting for answers
+			c.s.end(class, aborted)
 			return false
 		case err := <-gone:
 			if err != nil {
 				c.s.Desk.Gone(m)
+				c.s.end(class, aborted)
 				return false
 			}
 			// The next request has come early. It waits in the buffer.
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -44,9 +44,10 @@
 		}
 		job.Left = min(time.Duration(ms)*time.Millisecond, time.Hour)
 	}
-	if s.at() != Serving { // the program may be killed soon after: what it has not answered by then would be lost
+	if Phase(s.phase.Load()) != Serving { // the program may be killed soon after: what it has not answered by then would be lost
 		job.Left = min(job.Left, max(0, time.Duration(s.last.Load())-s.Now()))
 	}
+	job.Left = s.drain.left(s.Now(), job.Left)
 	if text, n := head.Fields.Get("Req-Cost"); n > 0 {
 		us, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(us >= 0 && us < 1e12) {
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -73,6 +73,36 @@
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	ended   chan struct{}
+
+	taken   atomic.Int64 // messages without an end
+	results [][ends]atomic.Int64
+	drain   drain
+}
+
+// How messages end; each in exactly one way.
+const (
+	succeeded = iota
+	declined
+	aborted
+	ends
+)
+
+// Results are how many messages of a class have ended, by how.
+type Results struct{ Succeeded, Declined, Aborted int64 }
+
+// Results returns the counts of a class.
+func (s *Server) Results(class int) Results {
+	r := &s.results[class]
+	return Results{r[succeeded].Load(), r[declined].Load(), r[aborted].Load()}
+}
+
+// Outstanding is how many messages are taken and have not ended.
+func (s *Server) Outstanding() int64 { return s.taken.Load() }
+
+// end counts the end of a message.
+func (s *Server) end(class, how int) {
+	s.results[class][how].Add(1)
+	s.taken.Add(-1)
 }
 
 // spare connections are taken over the limit, only to be told so: waiting in the kernel their requests would count as
@@ -83,6 +113,7 @@
 func New(c Config) *Server {
 	s := &Server{Config: c, classes: map[string]int{}, conns: map[*conn]struct{}{}, ended: make(chan struct{})}
 	s.slots = make(chan struct{}, c.MaxConns)
+	s.results = make([][ends]atomic.Int64, len(c.Classes))
 	for i, name := range c.Classes {
 		s.classes[name] = i
 	}
@@ -101,15 +132,24 @@
 	if p >= Ending {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for c := range s.conns {
-			if c.idle && sock.Quiet(c.Conn) { // else a request has come
-				c.shut()
-			}
+		s.shutIdle()
+	}
+}
+
+// shutIdle closes the idle connections, under the lock.
+func (s *Server) shutIdle() {
+	for c := range s.conns {
+		if c.idle && !c.closed && sock.Quiet(c.Conn) { // else a request has come
+			c.shut()
 		}
 	}
 }
 
-func (s *Server) at() Phase { return Phase(s.phase.Load()) }
+// at is how far a planned end or a drain has come, whichever is further.
+func (s *Server) at() Phase { return max(Phase(s.phase.Load()), s.drain.at(s.Now())) }
+
+// Ready says whether clients are welcome.
+func (s *Server) Ready() bool { return s.at() == Serving }
 
 // Run accepts connections until the context ends, then closes all that are left.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -313,6 +313,67 @@
 	})
 }
 
+// TestDrain follows a drain to its end, then one that is called back in the middle: nothing of it may come later.
+func TestDrain(t *testing.T) {
+	served := desk{answer: owner.Answer{Kind: owner.Served}}
+	ready := step{send: "GET /-/ready HTTP/1.1\r\n\r\n", want: "503", ends: true}
+	within(t, 64, func(w *world) {
+		idle := w.client
+		w.play(step{send: callback(report), want: "204"}, 0)
+		w.s.Drain(true)
+		w.client = w.dial()
+		w.play(ready, 0)
+		w.play(step{send: job + "\r\nhigh", set: served, want: "200", ends: true, taken: 1}, 0)
+		w.s.Drain(true)     // a repeat does not begin it anew
+		w.wait(time.Second) // 2 s are over: what comes now must end inside the limit, at 3.85 s
+		w.play(step{send: job + "\r\nhigh", set: served, want: "200", ends: true, taken: 1}, 0)
+		if left := w.taken[0].Job.Left; left != 1850*time.Millisecond {
+			t.Errorf("patience %v", left)
+		}
+		w.wait(200 * time.Millisecond)
+		w.play(step{send: job + "\r\nhigh", set: served, want: "503", ends: true}, 0)
+		if idle.closed {
+			t.Error("an idle connection closed early: it may be all that its client has")
+		}
+		w.wait(300 * time.Millisecond)
+		silent := w.dial()
+		w.wait(endLimit)
+		if !idle.closed || !silent.closed {
+			t.Errorf("closed: idle %v, silent %v", idle.closed, silent.closed)
+		}
+		w.play(ready, 0)
+		w.play(step{send: callback(report), want: "204", ends: true}, 0)
+		if r := w.s.Results(1); r != (Results{2, 1, 0}) || w.s.Outstanding() != 0 {
+			t.Errorf("results %+v, %d outstanding", r, w.s.Outstanding())
+		}
+
+		w.s.Drain(false)
+		w.client = w.dial()
+		w.play(step{send: "GET /-/ready HTTP/1.1\r\n\r\n", want: "200"}, 0)
+		w.s.Drain(true)
+		w.wait(time.Second)
+		w.s.Drain(false)
+		w.s.Drain(false)
+		w.wait(drainLimit)
+		w.play(step{send: job + "\r\nhigh", set: served, want: "200", taken: 1}, 0)
+	})
+}
+
+// TestResults: every message ends in exactly one count; what is no message in none.
+func TestResults(t *testing.T) {
+	want := map[string]Results{"200": {Succeeded: 1}, "200 sent": {Succeeded: 1}, "503": {Declined: 1}, "503 1.500": {Declined: 1}, "502": {Aborted: 1}, "": {Aborted: 1}}
+	for _, s := range steps {
+		if strings.HasPrefix(s.send, job+"\r\nhigh") && strings.Count(s.send, job) == 1 || strings.HasPrefix(s.want, "40") {
+			within(t, 64, func(w *world) {
+				w.play(s, 0)
+				if got := w.s.Results(1); got != want[s.want] || w.s.Outstanding() != 0 {
+					t.Errorf("%q: %+v, %d outstanding", s.want, got, w.s.Outstanding())
+				}
+			})
+		}
+	}
+}
+
 // TestManyClients guards the bound of descriptors: an idle connection makes room; where none is idle one over the limit
 // is told at once, and a silent one does not keep its place.
 func TestManyClients(t *testing.T) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -111,7 +111,10 @@
 // this only guards against its timer coming late or not at all.
 const Grace = 4 * time.Millisecond
 
-const tellEvery = time.Minute // a line of counts in the log
+const (
+	tellEvery = time.Minute            // a line of counts in the log
+	showEvery = 100 * time.Millisecond // what others may see of the fleet
+)
 
 type event func(now time.Duration)
 
@@ -120,6 +123,7 @@
 	open    *open    // or the deadline of a message,
 	attempt *Attempt // or the time-out of an attempt,
 	tell    bool     // or the next line of counts
+	show    bool     // or the next look at the fleet
 }
 
 // open is a message without a final answer, or with attempts that are out.
@@ -155,6 +159,22 @@
 	ctx     context.Context
 	counts  Counts
 	turned  atomic.Int64 // events that found the queue full
+
+	// Published for those who must not wait for the owner.
+	forwards, listed, avoided atomic.Int64
+}
+
+// Forwards is how many attempts were written whole.
+func (o *Owner) Forwards() int64 { return o.forwards.Load() }
+
+// Fleet is how many hosts the inventory lists, and how many of these are avoided, as of a moment ago.
+func (o *Owner) Fleet() (listed, avoided int64) { return o.listed.Load(), o.avoided.Load() }
+
+// show publishes how the fleet stands.
+func (o *Owner) show(now time.Duration) {
+	listed, avoided := o.module.Fleet(now)
+	o.listed.Store(int64(listed))
+	o.avoided.Store(int64(avoided))
 }
 
 // Counts are what the owner has seen since its start.
@@ -179,6 +199,7 @@
 	o.wheel.Add(now+tellEvery, timer{tell: true})
 	o.module.Start(now)
 	o.list(now, balance.ListCached, o.Known)
+	o.wheel.Add(now+showEvery, timer{show: true})
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -297,6 +318,7 @@
 
 // Written says that the last byte of an attempt is on its way, on a fresh connection or on one that had been used.
 func (o *Owner) Written(a *Attempt, fresh bool) {
+	o.forwards.Add(1)
 	o.post(func(now time.Duration) {
 		if !a.over {
 			o.module.Written(now, a.open.id, a.number, fresh)
@@ -372,6 +394,10 @@
 		o.tell()
 		o.wheel.Add(now+tellEvery, t)
 		return
+	case t.show:
+		o.show(now)
+		o.wheel.Add(now+showEvery, t)
+		return
 	case t.attempt != nil:
 		o.timeOut(now, t.attempt)
 		return
@@ -497,4 +523,5 @@
 		}
 	}
 	o.module.List(now, kind, entries)
+	o.show(now)
 }
