Let operators leave hosts out by hand, apart from the inventory and kept in $TMPDIR

Where the list or a probe could have lifted the word: balance.List makes a new record at each restart, so the ids out by hand stand beside the records and `allowed` asks them first; the owner has a flag of its own for the check before the first byte. Calls take a lane past the queue.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -71,6 +71,11 @@
 			w.nominal = e.Weight
 		}
 	}
+	d.changed(now)
+}
+
+// changed follows a change of the workers known or allowed.
+func (d *Dispatcher) changed(now time.Duration) {
 	d.known = slices.DeleteFunc(d.known, func(w *worker) bool {
 		if w.State != Gone || !w.replaced && d.s.GoneIsAdvice && now-w.goneAt < goneKept {
 			return false
@@ -85,10 +90,47 @@
 	d.drain(now)
 }
 
+// Offline leaves a worker out at an operator's word, or lets it serve again. Neither the list nor what is
+// learnt lifts that word. What is back may have been started anew meanwhile, and the list may be late to
+// tell: it counts as cold, nothing known of it holds, and the next job that may go there does.
+func (d *Dispatcher) Offline(now time.Duration, id WorkerID, out bool) {
+	if d.offline[id] == out {
+		return
+	}
+	d.offline[id] = out
+	d.back = slices.DeleteFunc(d.back, func(b WorkerID) bool { return b == id })
+	if w := d.workers[id]; !out {
+		delete(d.offline, id)
+		d.back = append(d.back, id)
+		if w != nil && w.State != Gone {
+			e := w.Worker
+			w.State, w.goneAt, w.replaced = Gone, now, true
+			n := d.newWorker(e)
+			n.Worker, n.slow, n.slowAt, n.lostAt = e, 1, 0, now
+		}
+	}
+	d.changed(now)
+}
+
+// returned is a worker that is back online and has got no job yet, if this one may go there. Its share of
+// turns could leave it unused for long. For a second it waits for a job that it can end in time.
+func (d *Dispatcher) returned(now time.Duration, r *request) *worker {
+	for _, id := range d.back {
+		if w := d.workers[id]; w != nil && d.usable(now, r, w, true) &&
+			(now-w.lostAt > time.Second || now+d.runs(now, r, w) <= r.aim) {
+			return w
+		}
+	}
+	return nil
+}
+
 // allowed: the rules let work go there. Where gone is advice only a drain bars a worker, and its process for
 // good, whatever a late list says. A list that loses workers that serve, lags or flickers costs nothing then;
 // workers that are gone indeed cost a refused connection now and then, or a job where they do not refuse.
 func (d *Dispatcher) allowed(w *worker) bool {
+	if d.offline[w.ID] {
+		return false
+	}
 	if d.s.GoneIsAdvice {
 		return !w.drained && !w.replaced && (w.State == Ready || w.proven && w.goneAt > w.lostAt)
 	}
@@ -161,7 +203,7 @@
 // as fewer jobs find room, and of first attempts only, as what a worker turns away counts against it too.
 func (d *Dispatcher) ramp(now time.Duration, w *worker, scheduled bool) bool {
 	c := d.warmth(now, w)
-	if c >= 1 {
+	if c >= 1 || slices.Contains(d.back, w.ID) {
 		return true
 	}
 	c *= d.s.OverloadFactor / 2 * max(0.3, d.placed) * (1 - d.turned)
@@ -224,7 +266,7 @@
 func (d *Dispatcher) Fleet(now time.Duration) (listed, avoided int) {
 	for _, w := range d.known {
 		if w.State != Gone {
-			if listed++; d.out(now, w) {
+			if listed++; d.offline[w.ID] || d.out(now, w) {
 				avoided++
 			}
 		}
@@ -244,6 +286,9 @@
 	if r.c.Effect == Keyed && r.trace() != nil {
 		far, want = len(d.sorted), r.need-1 // few may repeat it: look at all, and let it wait
 	}
+	if w := d.returned(now, r); w != nil {
+		return w
+	}
 	for _, sure := range []bool{true, false} {
 		for part := nearPart; part <= wholeFleet; part++ {
 			if part == nearPart && (d.s.CrossZoneFee == 0 || len(r.tries) > 1) {
@@ -293,6 +338,7 @@
 		return false
 	}
 	w.turn = d.count
+	d.back = slices.DeleteFunc(d.back, func(b WorkerID) bool { return b == w.ID })
 	r.tries = append(r.tries, attempt{w: w, sent: now, out: true})
 	if !d.s.TellsWritten {
 		r.tries[len(r.tries)-1].wrote = now
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -16,6 +17,7 @@
 
 	"liftgauge/internal/config"
 	"liftgauge/internal/control"
+	"liftgauge/internal/handover"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/inventory"
 	"liftgauge/internal/north"
@@ -109,6 +111,12 @@
 			return fmt.Errorf("control: %w", err)
 		}
 	}
+	path := ""
+	if dir := os.Getenv("TMPDIR"); dir != "" {
+		path = filepath.Join(dir, handover.Name(c.Name, "state"))
+	}
+	store := handover.Open(path, log)
+	state := store.State()
 	now := clock()
 	check := &invariant.Checker{Log: log}
 	sink := &lateSink{}
@@ -118,7 +126,8 @@
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
-		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check})
+		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
+		Ever: state.Listed, Offline: state.Offline, Listed: store.Listed})
 	clients := north.New(north.Config{Desk: sink, Classes: c.Classes, Limits: c.Settings.Classes,
 		MaxConns: northConns, LastAnswer: lastAnswer, Now: now, Log: log})
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "hosts", len(known.Hosts))
@@ -130,10 +139,18 @@
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
 		operators := control.New(control.Config{Callers: callers(c), Ready: clients.Ready, Drain: clients.Drain, Log: log,
+			Offline: func(ctx context.Context, id string, out bool) (bool, error) {
+				known, err := sink.SetOffline(ctx, id, out)
+				if known && err == nil { // the yes promises that it outlives this process
+					err = store.SetOffline(id, out)
+				}
+				return known, err
+			},
 			Figures: func() control.Figures { return figures(c, clients, sink.Owner) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
 	group.Go(func() error { return list.Run(run) })
+	group.Go(func() error { return store.Run(run) })
 	owned, ownerEnds := context.WithCancel(context.Background())
 	group.Go(func() error {
 		defer ownerEnds()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,7 +69,9 @@
 	barred atomic.Bool
 }
 
-func (a *Attempt) clear() bool { return !a.barred.Load() && !a.host.shut.Load() }
+func (a *Attempt) clear() bool {
+	return !a.barred.Load() && !a.host.shut.Load() && !a.host.offline.Load()
+}
 
 // Causes of the end of an attempt's context.
 var (
@@ -105,6 +107,10 @@
 	Queue     int
 	Log       *slog.Logger
 	Check     *invariant.Checker
+
+	Ever    []string            // names that were listed before, in earlier processes too
+	Offline []string            // of these, hosts that operators have left out
+	Listed  func(name []string) // if set, told of names that were never listed before; must not block
 }
 
 // Grace is how long after a message's deadline the owner answers by itself. The module answers before the deadline;
@@ -140,13 +146,15 @@
 
 type host struct {
 	Host
-	shut atomic.Bool // nothing new may be sent there
+	shut    atomic.Bool // nothing new may be sent there
+	offline atomic.Bool // by an operator's word, which no list changes
 }
 
 // Owner owns the module.
 type Owner struct {
 	Config
 	queue   chan event
+	lane    chan event // goes before the queue: for the few calls of operators, which no load may hold up
 	stopped chan struct{}
 	module  *balance.Dispatcher
 	wheel   *wheel.Wheel[timer]
@@ -155,6 +163,7 @@
 	keys    map[string]*open
 	hosts   map[balance.WorkerID]*host
 	ids     names
+	ever    map[string]bool // the names that were listed at any time
 	last    balance.JobID
 	ctx     context.Context
 	counts  Counts
@@ -182,9 +191,9 @@
 
 // New returns an Owner; Run starts the module.
 func New(c Config) *Owner {
-	return &Owner{Config: c, queue: make(chan event, max(c.Queue, 1)), stopped: make(chan struct{}),
+	return &Owner{Config: c, queue: make(chan event, max(c.Queue, 1)), lane: make(chan event), stopped: make(chan struct{}),
 		jobs: map[balance.JobID]*open{}, keys: map[string]*open{}, hosts: map[balance.WorkerID]*host{},
-		ids: names{}}
+		ids: names{}, ever: map[string]bool{}}
 }
 
 // Run owns the module until the context ends.
@@ -197,6 +206,13 @@
 	settings.TellsWritten = true
 	o.module = balance.New(settings, o.Seed, actions{o})
 	o.wheel.Add(now+tellEvery, timer{tell: true})
+	for _, name := range o.Ever {
+		o.ever[name] = true
+	}
+	for _, name := range o.Config.Offline { // before any list: nothing may be sent there
+		o.ever[name] = true
+		o.setOffline(now, name, true)
+	}
 	o.module.Start(now)
 	o.list(now, balance.ListCached, o.Known)
 	o.wheel.Add(now+showEvery, timer{show: true})
@@ -212,11 +228,18 @@
 		case <-ctx.Done():
 			o.tell()
 			return nil
+		case e := <-o.lane:
+			o.run(e)
 		case e := <-o.queue:
 			o.run(e)
 		case <-alarm.C:
 		}
 		for range len(o.queue) { // what waits goes before timers: an outcome may be among it
+			select {
+			case e := <-o.lane:
+				o.run(e)
+			default:
+			}
 			o.run(<-o.queue)
 		}
 		o.wheel.Advance(o.Now(), func(t timer) { o.run(func(now time.Duration) { o.due(now, t) }) })
@@ -290,6 +313,45 @@
 	})
 }
 
+// SetOffline leaves a host out, or lets it serve again, at an operator's word. It returns once that holds. Known says
+// whether the host was ever listed; one that was not is left as it is.
+func (o *Owner) SetOffline(ctx context.Context, name string, out bool) (known bool, err error) {
+	done := make(chan bool, 1)
+	select {
+	case o.lane <- func(now time.Duration) {
+		if o.ever[name] {
+			o.setOffline(now, name, out)
+		}
+		done <- o.ever[name]
+	}:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-o.stopped:
+		return false, errors.New("the program ends")
+	}
+	select {
+	case known = <-done:
+		return known, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+func (o *Owner) setOffline(now time.Duration, name string, out bool) {
+	id := o.ids.id(name)
+	h := o.hosts[id]
+	if h == nil { // not on the list now; what is kept of it waits for the day
+		h = &host{Host: Host{Name: name}}
+		h.shut.Store(true)
+		o.hosts[id] = h
+	}
+	if h.offline.Swap(out) != out {
+		o.South.Forget(h.Host) // a process started anew must not be taken for the one before
+	}
+	o.module.Offline(now, id, out)
+	o.show(now)
+}
+
 // State is what a host says of a job.
 type State uint8
 
@@ -494,7 +556,12 @@
 func (o *Owner) list(now time.Duration, kind balance.ListKind, hosts []Host) {
 	entries := make([]balance.Worker, 0, len(hosts))
 	listed := map[balance.WorkerID]bool{}
+	var unheard []string
 	for _, h := range hosts {
+		if !o.ever[h.Name] {
+			o.ever[h.Name] = true
+			unheard = append(unheard, h.Name)
+		}
 		w := h.Worker
 		w.ID = o.ids.id(h.Name)
 		h.Worker = w
@@ -522,6 +589,9 @@
 			}
 		}
 	}
+	if len(unheard) > 0 && o.Listed != nil {
+		o.Listed(unheard)
+	}
 	o.module.List(now, kind, entries)
 	o.show(now)
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -184,6 +184,77 @@
 	})
 }
 
+// TestOfflineByHand: the check before a send's first byte sees an operator's word, which passes a queue that is full and
+// which no list lifts; an id that was never listed is not known.
+func TestOfflineByHand(t *testing.T) {
+	within(t, func(t *testing.T, b *bench) {
+		set := func(name string, out, want bool) {
+			t.Helper()
+			if known, err := b.o.SetOffline(t.Context(), name, out); err != nil || known != want {
+				t.Errorf("%s: known %v, error %v", name, known, err)
+			}
+		}
+		b.submit(warning, 5*time.Second)
+		s := b.sends[0]
+		set("s-never", true, false)
+		hold := make(chan struct{})
+		b.o.post(func(time.Duration) { <-hold }) // the owner is busy, and more waits than the queue holds
+		for b.o.offer(func(time.Duration) {}) {
+		}
+		done := make(chan struct{})
+		go func() { set(s.a.Host.Name, true, true); close(done) }()
+		synctest.Wait()
+		close(hold)
+		<-done
+		if s.a.Clear() {
+			t.Error("clear to send to a host that is out")
+		}
+		hosts := []Host{testHost(0, balance.Ready), testHost(1, balance.Ready), testHost(2, balance.Ready), testHost(3, balance.Ready)}
+		b.o.List(balance.ListFull, hosts)
+		synctest.Wait()
+		if listed, avoided := b.o.Fleet(); s.a.Clear() || listed != 4 || avoided != 1 {
+			t.Errorf("clear %v, %d listed, %d avoided", s.a.Clear(), listed, avoided)
+		}
+		b.o.List(balance.ListFull, hosts[:0]) // ever listed outlives leaving the list
+		synctest.Wait()
+		set(s.a.Host.Name, true, true)
+		set(s.a.Host.Name, false, true)
+		b.o.List(balance.ListFull, hosts)
+		synctest.Wait()
+		if !s.a.Clear() {
+			t.Error("back online and not clear to send to")
+		}
+	})
+}
+
+// TestOfflineFromBefore: a word given to an earlier process holds from the start.
+func TestOfflineFromBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{t: t}
+		var listed []string
+		b.o = New(Config{Settings: testSettings(), Seed: 7, Known: []Host{testHost(0, balance.Ready), testHost(1, balance.Ready)},
+			South: b, Inventory: b, Queue: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Check: &invariant.Checker{},
+			Ever: []string{"s-old"}, Offline: []string{testHost(0, balance.Ready).Name}, Listed: func(names []string) { listed = append(listed, names...) },
+			Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
+		ctx, stop := context.WithCancel(t.Context())
+		go b.o.Run(ctx)
+		synctest.Wait()
+		for range 4 {
+			b.submit(warning, 5*time.Second)
+		}
+		for _, s := range b.sends {
+			if s.a.Host.Name != testHost(1, balance.Ready).Name {
+				t.Errorf("sent to %s", s.a.Host.Name)
+			}
+		}
+		if known, _ := b.o.SetOffline(ctx, "s-old", true); !known || len(listed) != 1 || len(b.sends) == 0 {
+			t.Errorf("old name known %v, new names %v, %d sends", known, listed, len(b.sends))
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
 // TestSameIDTwice guards the first message of two with one id: its table entry must not be replaced.
 func TestSameIDTwice(t *testing.T) {
 	within(t, func(t *testing.T, b *bench) {
