--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -169,6 +169,12 @@
 	}
 }
 
+func (c *clients) HandOver() {
+	c.entered = append(c.entered, "handed over at "+time.Since(c.start).String())
+}
+
+func (c *clients) Rest() int { return int(c.Open()) }
+
 func (c *clients) Open() int64 {
 	if time.Now().Before(c.until) {
 		return 1
@@ -176,6 +182,25 @@
 	return 0
 }
 
+// TestHandOver follows a planned end with a successor: the listener is left at once, idle connections go late, and the
+// program ends as soon as the last one has.
+func TestHandOver(t *testing.T) {
+	for open, want := range map[time.Duration]time.Duration{0: overlap, 3 * time.Second: 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &clients{start: time.Now(), until: time.Now().Add(open)}
+			ctx, signal := context.WithCancel(t.Context())
+			signal()
+			leave(ctx, t.Context(), c, func() bool { return true }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			if got := strings.Join(c.entered, ", "); got != "leaving at 0s, handed over at 0s, closing at 0s" {
+				t.Error(got)
+			}
+			if took := time.Since(c.start); took != want {
+				t.Errorf("ended after %v with messages open for %v", took, open)
+			}
+		})
+	}
+}
+
 // TestLeave follows a planned end: serve on through the overlap, take no new messages at the last call, and end when
 // all is answered, at once or after seconds.
 func TestLeave(t *testing.T) {
@@ -184,7 +209,7 @@
 			c := &clients{start: time.Now(), until: time.Now().Add(open)}
 			ctx, signal := context.WithCancel(t.Context())
 			signal()
-			leave(ctx, t.Context(), c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			leave(ctx, t.Context(), c, func() bool { return false }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 			if got := strings.Join(c.entered, ", "); got != "leaving at 0s, closing at 1.7s, ending at 2s" {
 				t.Error(got)
 			}
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -48,15 +47,18 @@
 	return min(max(c.Sockets/32, 4), 16)
 }
 
-// room shares out the descriptors. A client holds its connection for as long as its job runs, a host only until it has
+// askers is how many questions old and new process of an upgrade may have open each way.
+func askers(c *config.Config) int { return min(max(c.Sockets/64, 1), 4) }
+
+// room shares out so many descriptors. A client holds its connection for as long as its job runs, a host only until it has
 // taken the job.
-func room(c *config.Config) (northConns, southConns int) {
-	own := ownSockets
+func room(c *config.Config, sockets int) (northConns, southConns int) {
+	own := ownSockets + 2*askers(c) + 2 // and the socket and the link
 	if n := callers(c); n > 0 {
 		own += n + 2 // the listener, and one caller who is to be let in or turned away
 	}
-	southConns = max((c.Sockets-own)/4, 1)
-	return c.Sockets - own - southConns, southConns
+	southConns = max((sockets-own)/4, 1)
+	return max(sockets-own-southConns, 1), southConns
 }
 
 // clock returns a monotonic clock that counts from the Unix epoch, so that times on the list compare with it. A step of
@@ -91,45 +93,46 @@
 	// Never stopped: without a handler SIGHUP ends the program, and one may come at any moment, past SIGTERM too.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	known, err := knownList(c)
-	if err != nil {
-		return err
-	}
-	// The rest of the limit is for stacks, buffers of the kernel and the binary.
-	debug.SetMemoryLimit(c.Memory * 3 / 4)
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	var listen net.ListenConfig
-	listen.SetMultipathTCP(false) // plain TCP is all that the platform has
-	listener, err := listen.Listen(ctx, "tcp", c.Listen)
+	listener, err := handover.Listen(ctx, c.Listen, os.Getenv("LB_INHERITED_FD"))
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	var calls net.Listener
 	if c.Control != "" {
-		if calls, err = listen.Listen(ctx, "tcp", c.Control); err != nil {
+		if calls, err = handover.Listen(ctx, c.Control, ""); err != nil {
 			return fmt.Errorf("control: %w", err)
 		}
 	}
-	path := ""
-	if dir := os.Getenv("TMPDIR"); dir != "" {
-		path = filepath.Join(dir, handover.Name(c.Name, "state"))
+	n, known, err := meet(ctx, c, log)
+	if err != nil {
+		return err
 	}
-	store := handover.Open(path, log)
-	state := store.State()
+	// The rest of the limit is for stacks, buffers of the kernel and the binary.
+	debug.SetMemoryLimit(c.Memory * 3 / 4)
+	state := n.store.State()
 	now := clock()
 	check := &invariant.Checker{Log: log}
 	sink := &lateSink{}
-	northConns, southConns := room(c)
+	northConns, southConns := room(c, c.Sockets)
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
-		Ever: state.Listed, Offline: state.Offline, Listed: store.Listed})
-	clients := north.New(north.Config{Desk: sink, Classes: c.Classes, Limits: c.Settings.Classes,
+		Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
+	var other north.Other
+	if n.peer != nil {
+		other = n.peer
+	}
+	clients := north.New(north.Config{Desk: sink, Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
 		MaxConns: northConns, LastAnswer: lastAnswer, Now: now, Log: log})
+	n.owner, n.clients, n.hosts, n.list = sink.Owner, clients, hosts, list
+	if n.peer != nil {
+		n.Share(n.peer.Live())
+	}
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "hosts", len(known.Hosts))
 
 	// They end from the outside in: first nobody hands in messages, then nobody decides, then nobody sends.
@@ -138,31 +141,31 @@
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
-		operators := control.New(control.Config{Callers: callers(c), Ready: clients.Ready, Drain: clients.Drain, Log: log,
-			Offline: func(ctx context.Context, id string, out bool) (bool, error) {
-				known, err := sink.SetOffline(ctx, id, out)
-				if known && err == nil { // the yes promises that it outlives this process
-					err = store.SetOffline(id, out)
-				}
-				return known, err
-			},
+		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Drain: clients.Drain, Offline: n.call, Log: log,
 			Figures: func() control.Figures { return figures(c, clients, sink.Owner) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
 	group.Go(func() error { return list.Run(run) })
-	group.Go(func() error { return store.Run(run) })
+	group.Go(func() error { return n.store.Run(run) })
 	owned, ownerEnds := context.WithCancel(context.Background())
 	group.Go(func() error {
 		defer ownerEnds()
 		return sink.Run(run)
 	})
 	group.Go(func() error { return hosts.Run(owned) })
+	if n.peer != nil {
+		group.Go(func() error { return n.peer.Run(run) })
+	}
+	group.Go(func() error { // what it needs to serve is there
+		n.start()
+		return nil
+	})
 	group.Go(func() error {
 		reload(run, hup, c, os.Getenv, list.Move, log)
 		return nil
 	})
 	group.Go(func() error {
-		leave(ctx, run, clients, log)
+		leave(ctx, run, clients, n.succeeded, log)
 		end()
 		return nil
 	})
@@ -210,22 +213,37 @@
 type leaver interface {
 	Enter(p north.Phase)
 	Open() int64
+	HandOver()
+	Rest() int
 }
 
 // leave waits for the signal and sees the planned end through: it returns when every message taken is answered.
-func leave(signalled, run context.Context, clients leaver, log *slog.Logger) {
+//
+// Where a successor has taken over, new connections are its own from the signal on. Those that are open here close after
+// an answer, and the idle ones late: a client that has just written to one would have to send again.
+func leave(signalled, run context.Context, clients leaver, succeeded func() bool, log *slog.Logger) {
 	select {
 	case <-signalled.Done():
 	case <-run.Done():
 		return
 	}
-	log.Info("leaving", "open", clients.Open())
+	handing := succeeded()
+	log.Info("leaving", "open", clients.Open(), "succeeded", handing)
 	clients.Enter(north.Leaving)
+	if handing {
+		clients.HandOver()
+		clients.Enter(north.Closing)
+	}
 	start := time.Now()
 	ticks := time.NewTicker(endTick)
 	defer ticks.Stop()
 	for {
 		switch since := time.Since(start); {
+		case handing:
+			if since >= overlap && clients.Rest() == 0 && clients.Open() == 0 {
+				log.Info("left")
+				return
+			}
 		case since >= leastEnd && clients.Open() == 0:
 			log.Info("left")
 			return
--- /dev/null
+++ b/cmd/liftgauge/upgrade.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+
+	"liftgauge/internal/config"
+	"liftgauge/internal/handover"
+	"liftgauge/internal/inventory"
+	"liftgauge/internal/north"
+	"liftgauge/internal/owner"
+	"liftgauge/internal/south"
+)
+
+// node is this process as the other process of an upgrade, and the operators, meet it.
+type node struct {
+	c       *config.Config
+	store   *handover.Store
+	peer    *handover.Peer // nil where there is no folder to meet in
+	owner   *owner.Owner
+	clients *north.Server
+	hosts   *south.Client
+	list    *inventory.Client
+	log     *slog.Logger
+	started atomic.Bool // it takes clients, and the process before knows
+
+	calls sync.Mutex // operators' calls that change something go one after another
+}
+
+// meet opens what outlives a process and looks for one that is to be followed. What that one knows goes before the
+// configuration, which may be older.
+func meet(ctx context.Context, c *config.Config, log *slog.Logger) (n *node, known inventory.List, err error) {
+	n = &node{c: c, log: log}
+	if known, err = knownList(c); err != nil {
+		return nil, known, err
+	}
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		n.store = handover.Open("", log)
+		return n, known, nil
+	}
+	var told *handover.Snapshot
+	if n.peer, err = handover.NewPeer(dir, c.Name, askers(c), log); err != nil { // it can serve all the same
+		log.Error("no upgrade without an interruption", "err", err)
+	} else {
+		n.peer.Handler = n
+		if told, err = n.peer.Join(ctx); err != nil {
+			log.Error("no process found to follow", "err", err)
+		}
+	}
+	n.store = handover.Open(filepath.Join(dir, handover.Name(c.Name, "state")), log)
+	if told == nil {
+		return n, known, nil
+	}
+	n.store.Adopt(told.State)
+	if told.Discovery != "" {
+		c.Discovery = told.Discovery
+	}
+	decoder := inventory.Decoder{Zones: c.Zones, Kinds: c.Kinds}
+	if list, err := decoder.Decode(told.List); err != nil {
+		log.Error("list of the process before not taken", "err", err)
+	} else if list.Revision >= known.Revision {
+		known = list
+	}
+	log.Info("following", "discovery", c.Discovery, "hosts", len(known.Hosts), "revision", known.Revision, "offline", len(told.Offline))
+	return n, known, nil
+}
+
+// Snapshot tells a successor what this process knows.
+func (n *node) Snapshot(ctx context.Context) (handover.Snapshot, error) {
+	if !n.started.Load() {
+		return handover.Snapshot{}, errors.New("not serving yet")
+	}
+	// The version first: the hosts may then be newer than it says, and changes told twice do no harm.
+	address, revision := n.list.Where()
+	hosts, err := n.owner.Hosts(ctx)
+	if err != nil {
+		return handover.Snapshot{}, err
+	}
+	decoder := inventory.Decoder{Zones: n.c.Zones, Kinds: n.c.Kinds}
+	return handover.Snapshot{Ready: true, Discovery: address, State: n.store.State(),
+		List: decoder.Encode(inventory.List{Revision: revision, Complete: true, Hosts: hosts})}, nil
+}
+
+// Callback deals with a host's call that came to the other process.
+func (n *node) Callback(body []byte) int { return n.clients.Callback(body) }
+
+// Offline carries out an operators' call that came to the other process.
+func (n *node) Offline(ctx context.Context, id string, out, sure bool) (bool, error) {
+	known, err := n.owner.SetOffline(ctx, id, out, sure)
+	if known && err == nil { // the yes promises that it outlives this process
+		err = n.store.SetOffline(id, out)
+	}
+	return known, err
+}
+
+// call carries out an operators' call here and in the other process, if there is one.
+func (n *node) call(ctx context.Context, id string, out bool) (known bool, err error) {
+	n.calls.Lock()
+	defer n.calls.Unlock()
+	if known, err = n.Offline(ctx, id, out, false); err != nil || n.peer == nil {
+		return known, err
+	}
+	there, err := n.peer.Offline(id, out, known)
+	switch {
+	case errors.Is(err, owner.ErrNobody):
+		return known, nil
+	case err != nil:
+		return known, fmt.Errorf("the other process: %w", err)
+	case there && !known: // it has heard more of the inventory
+		return n.Offline(ctx, id, out, true)
+	}
+	return known, nil
+}
+
+// Share begins or ends the time in which another process has half of what this one may use.
+func (n *node) Share(on bool) {
+	memory, sockets := n.c.Memory, n.c.Sockets
+	if on {
+		memory, sockets = memory/2, sockets/2
+	}
+	debug.SetMemoryLimit(memory * 3 / 4)
+	northConns, southConns := room(n.c, sockets)
+	n.clients.SetLimit(northConns)
+	n.hosts.SetLimit(southConns)
+	if !on { // the other may have written last, without what only this one knows
+		n.store.Listed(nil)
+	}
+}
+
+// start tells the process before, if there is one, that this one takes clients.
+func (n *node) start() {
+	if n.peer != nil {
+		if err := n.peer.Announce(); err != nil && !errors.Is(err, owner.ErrNobody) {
+			n.log.Warn("the process before was not told", "err", err)
+		}
+	}
+	n.started.Store(true)
+}
+
+// ready says whether this process takes clients.
+func (n *node) ready() bool { return n.started.Load() && n.clients.Ready() }
+
+// succeeded says whether another process has taken over.
+func (n *node) succeeded() bool { return n.peer != nil && n.peer.Succeeded() }
--- /dev/null
+++ b/internal/handover/listen.go
@@ -0,0 +1,92 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// Listen returns the clients' listener: the socket that the platform holds and hands to every process, where descriptor
+// names it, else one of its own at the address. A socket that is handed down is the other processes' too: it is closed
+// here when it is done with, and never shut down.
+func Listen(ctx context.Context, address, descriptor string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false) // plain TCP is all that the platform has
+	if descriptor == "" {
+		l, err := c.Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	fd, err := strconv.ParseUint(descriptor, 10, 16)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("LB_INHERITED_FD: want a descriptor, have %q", descriptor)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close() // FileListener works on a copy
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("LB_INHERITED_FD: %w", err)
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, errors.New("LB_INHERITED_FD: want a TCP socket")
+	}
+	return l, nil
+}
+
+// folder is where the processes of a dispatcher find each other's sockets.
+type folder struct {
+	path   string
+	prefix string
+	open   *os.File // where the path is too long to be bound to
+}
+
+const (
+	socketEnd  = ".sock"
+	longestSun = 100 // the kernel takes 107 bytes of a path
+)
+
+func openFolder(path, dispatcher string) (*folder, error) {
+	f := &folder{path: path, prefix: Name(dispatcher, "")}
+	if len(path)+1+len(f.prefix)+8+len(socketEnd) > longestSun {
+		open, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		f.open = open
+	}
+	return f, nil
+}
+
+// address is a name by which a socket there can be bound to and called, however long the folder's is.
+func (f *folder) address(socket string) string {
+	if f.open != nil {
+		return fmt.Sprintf("/proc/self/fd/%d/%s", f.open.Fd(), socket)
+	}
+	return filepath.Join(f.path, socket)
+}
+
+// sockets lists those of this dispatcher's processes.
+func (f *folder) sockets() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	var all []string
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), f.prefix) && strings.HasSuffix(e.Name(), socketEnd) {
+			all = append(all, e.Name())
+		}
+	}
+	return all, err
+}
+
+func (f *folder) close() {
+	if f.open != nil {
+		f.open.Close()
+	}
+}
--- /dev/null
+++ b/internal/handover/peer.go
@@ -0,0 +1,394 @@
+package handover
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"liftgauge/internal/jsonval"
+	"liftgauge/internal/owner"
+)
+
+const (
+	callWithin  = 300 * time.Millisecond // to reach the other's socket
+	askWithin   = 500 * time.Millisecond // for an answer to what is asked there
+	tellWithin  = 1500 * time.Millisecond
+	maxLine     = 4 << 20
+	acceptPause = 10 * time.Millisecond
+)
+
+// Snapshot is what a process tells its successor.
+type Snapshot struct {
+	Ready     bool   // it takes clients
+	Discovery string // the address that counts
+	List      []byte // the inventory in discovery's form
+	State
+}
+
+// Handler does for the other process what it asks.
+type Handler interface {
+	// Snapshot is told to a successor.
+	Snapshot(ctx context.Context) (Snapshot, error)
+	// Callback deals with a host's call that came to the other process, and returns the status of the answer.
+	Callback(body []byte) (status int)
+	// Offline carries out an operators' call. Sure says that the other knows the host.
+	Offline(ctx context.Context, id string, out, sure bool) (known bool, err error)
+	// Share begins or ends the time in which two processes have what one may use.
+	Share(on bool)
+}
+
+// Peer is this process as the other process of its dispatcher meets it. The one that is called stays the elder.
+type Peer struct {
+	Handler Handler
+	Log     *slog.Logger
+	Asks    int // how many questions may be open each way
+
+	folder *folder
+	socket string
+	l      net.Listener
+	asks   chan struct{}
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{} // all that are open here, to be closed at the end
+	ended bool
+	other *link
+}
+
+// link is the connection that stands for as long as both processes live.
+type link struct {
+	net.Conn
+	r      *bufio.Reader
+	socket string // where to ask the other
+	elder  bool   // the other was there first
+	ready  bool   // the other, if it is the successor, takes clients. Guarded by the peer's lock.
+}
+
+// NewPeer binds this process's socket in the folder that all processes of the dispatcher share.
+func NewPeer(dir, dispatcher string, asks int, log *slog.Logger) (*Peer, error) {
+	f, err := openFolder(dir, dispatcher)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	var id [4]byte
+	rand.Read(id[:])
+	p := &Peer{Log: log, Asks: max(asks, 1), folder: f, socket: f.prefix + hex.EncodeToString(id[:]) + socketEnd,
+		conns: map[net.Conn]struct{}{}}
+	p.asks = make(chan struct{}, p.Asks)
+	if p.l, err = net.Listen("unix", f.address(p.socket)); err != nil {
+		f.close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return p, nil
+}
+
+// keep notes an open connection; false says that the end has come.
+func (p *Peer) keep(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		p.conns[c] = struct{}{}
+	}
+	return !p.ended
+}
+
+func (p *Peer) drop(c net.Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// Join calls the process that serves, if there is one, and returns what it tells. From then on it has this one for a
+// successor. It comes before Run, which must follow soon, and leaves it to the caller to begin the sharing.
+func (p *Peer) Join(ctx context.Context) (*Snapshot, error) {
+	sockets, err := p.folder.sockets()
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	ctx, stop := context.WithTimeout(ctx, tellWithin)
+	defer stop()
+	for _, socket := range sockets {
+		if socket == p.socket {
+			continue
+		}
+		c, err := p.dial(ctx, socket)
+		if errors.Is(err, syscall.ECONNREFUSED) { // its process is dead
+			os.Remove(p.folder.address(socket))
+			continue
+		}
+		if err != nil {
+			p.Log.Warn("handover: call", "socket", socket, "err", err)
+			continue
+		}
+		l := &link{Conn: c, r: bufio.NewReader(c), socket: socket, elder: true}
+		s, err := p.hello(ctx, l)
+		if err != nil || !s.Ready || !p.keep(c) {
+			p.Log.Warn("handover: not joined", "socket", socket, "err", err)
+			c.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.other = l // Run watches it; nobody else is at work yet
+		p.mu.Unlock()
+		return s, nil
+	}
+	return nil, nil
+}
+
+func (p *Peer) dial(ctx context.Context, socket string) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, callWithin)
+	defer stop()
+	var d net.Dialer
+	return d.DialContext(ctx, "unix", p.folder.address(socket))
+}
+
+// hello asks the elder for its snapshot.
+func (p *Peer) hello(ctx context.Context, l *link) (*Snapshot, error) {
+	if at, ok := ctx.Deadline(); ok {
+		l.SetDeadline(at)
+	}
+	defer l.SetDeadline(time.Time{})
+	if err := writeLine(l, jsonval.Is("op", "hello"), jsonval.Is("socket", p.socket)); err != nil {
+		return nil, err
+	}
+	o, err := readLine(l.r)
+	if err != nil {
+		return nil, err
+	}
+	s := &Snapshot{Ready: o.Flag("ready"), Discovery: o.Text("discovery"), List: o.Raw("list"),
+		State: State{Offline: o.Texts("offline"), Listed: o.Texts("listed")}}
+	return s, o.Err()
+}
+
+// Announce tells the elder, if there is one, that this process takes clients. It returns once the elder knows.
+func (p *Peer) Announce() error {
+	p.mu.Lock()
+	l := p.other
+	p.mu.Unlock()
+	if l == nil || !l.elder {
+		return nil
+	}
+	_, err := p.ask(jsonval.Is("op", "ready"), jsonval.Is("socket", p.socket))
+	return err
+}
+
+// Live says whether another process is there.
+func (p *Peer) Live() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.other != nil
+}
+
+// Succeeded says whether a successor takes clients.
+func (p *Peer) Succeeded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.other != nil && !p.other.elder && p.other.ready
+}
+
+// Callback hands a host's call to the other process.
+func (p *Peer) Callback(body []byte) (status int, err error) {
+	o, err := p.ask(jsonval.Is("op", "callback"), jsonval.Is("body", string(body)))
+	if err != nil {
+		return 0, err
+	}
+	return int(o.Whole("status")), o.Err()
+}
+
+// Offline has the other process carry out an operators' call.
+func (p *Peer) Offline(id string, out, sure bool) (known bool, err error) {
+	o, err := p.ask(jsonval.Is("op", "offline"), jsonval.Is("id", id), jsonval.Is("out", out), jsonval.Is("sure", sure))
+	if err != nil {
+		return false, err
+	}
+	if !o.Flag("done") {
+		return false, errors.New("handover: the other process did not apply it")
+	}
+	return o.Flag("known"), o.Err()
+}
+
+// ask puts one question on a connection of its own.
+func (p *Peer) ask(question ...jsonval.Member) (jsonval.Object, error) {
+	var none jsonval.Object
+	p.mu.Lock()
+	l := p.other
+	p.mu.Unlock()
+	if l == nil {
+		return none, owner.ErrNobody
+	}
+	ctx, stop := context.WithTimeout(context.Background(), askWithin)
+	defer stop()
+	select {
+	case p.asks <- struct{}{}:
+		defer func() { <-p.asks }()
+	case <-ctx.Done():
+		return none, fmt.Errorf("handover: %w", ctx.Err())
+	}
+	c, err := p.dial(ctx, l.socket)
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, os.ErrNotExist) {
+		return none, owner.ErrNobody
+	}
+	if err != nil {
+		return none, fmt.Errorf("handover: %w", err)
+	}
+	defer c.Close()
+	at, _ := ctx.Deadline()
+	c.SetDeadline(at)
+	if err := writeLine(c, question...); err != nil {
+		return none, fmt.Errorf("handover: %w", err)
+	}
+	return readLine(bufio.NewReader(c))
+}
+
+// setOther begins or ends the sharing.
+func (p *Peer) setOther(l *link) {
+	p.mu.Lock()
+	old := p.other
+	p.other = l
+	p.mu.Unlock()
+	if old != nil && l != nil {
+		old.Close() // a later successor takes the place of one that may hang
+	}
+	if (old == nil) != (l == nil) {
+		p.Log.Info("handover: sharing", "on", l != nil)
+		p.Handler.Share(l != nil)
+	}
+}
+
+// watch waits for the end of a link, which is the end of the other process.
+func (p *Peer) watch(l *link) {
+	io.Copy(io.Discard, l.r)
+	p.drop(l)
+	p.mu.Lock()
+	current := p.other == l
+	p.mu.Unlock()
+	if current {
+		p.setOther(nil)
+	}
+}
+
+// Run answers the other process until the context ends.
+func (p *Peer) Run(ctx context.Context) error {
+	var calls sync.WaitGroup
+	defer p.folder.close()
+	defer calls.Wait()
+	if l := p.other; l != nil {
+		calls.Go(func() { p.watch(l) })
+	}
+	defer context.AfterFunc(ctx, func() {
+		p.l.Close() // and unlinks the socket
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.ended = true
+		for c := range p.conns {
+			c.Close()
+		}
+	})()
+	room := make(chan struct{}, p.Asks+1) // and the link
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			p.Log.Warn("handover: accept", "err", err)
+			select {
+			case <-time.After(acceptPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if !p.keep(c) {
+			c.Close()
+			return nil
+		}
+		room <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-room }()
+			p.answer(ctx, c)
+		})
+	}
+}
+
+// answer reads one question and answers it. One that is a successor's first becomes the link.
+func (p *Peer) answer(ctx context.Context, c net.Conn) {
+	c.SetDeadline(time.Now().Add(tellWithin))
+	r := bufio.NewReader(c)
+	o, err := readLine(r)
+	if err != nil {
+		p.drop(c)
+		return
+	}
+	asking, stop := context.WithTimeout(ctx, askWithin)
+	defer stop()
+	var reply []jsonval.Member
+	switch o.Text("op") {
+	case "hello":
+		l := &link{Conn: c, r: r, socket: o.Text("socket")}
+		if o.Err() != nil || l.socket == "" {
+			break
+		}
+		p.setOther(l) // before the snapshot is taken: what changes from here on is asked of the successor as well
+		s, err := p.Handler.Snapshot(asking)
+		if err != nil || !s.Ready { // nothing to take over here
+			c.Close()
+			p.watch(l)
+			return
+		}
+		if err := writeLine(c, jsonval.Is("ready", true), jsonval.Is("discovery", s.Discovery), jsonval.Is("list", s.List),
+			jsonval.Is("offline", s.Offline), jsonval.Is("listed", s.Listed)); err == nil {
+			c.SetDeadline(time.Time{})
+		}
+		p.watch(l) // where it was not told the deadline ends the link
+		return
+	case "ready":
+		p.mu.Lock()
+		l := p.other
+		if l != nil && !l.elder && l.socket == o.Text("socket") {
+			l.ready = true
+			reply = append(reply, jsonval.Is("done", true))
+		}
+		p.mu.Unlock()
+	case "callback":
+		reply = append(reply, jsonval.Is("status", p.Handler.Callback([]byte(o.Text("body")))))
+	case "offline":
+		known, err := p.Handler.Offline(asking, o.Text("id"), o.Flag("out"), o.Flag("sure"))
+		reply = append(reply, jsonval.Is("known", known), jsonval.Is("done", err == nil))
+	}
+	writeLine(c, reply...)
+	p.drop(c)
+}
+
+// writeLine writes an object as one line.
+func writeLine(w io.Writer, members ...jsonval.Member) error {
+	_, err := w.Write(append(jsonval.AppendObject(nil, members...), '\n'))
+	return err
+}
+
+// readLine reads one object.
+func readLine(r *bufio.Reader) (jsonval.Object, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if line = append(line, part...); len(line) > maxLine {
+			return jsonval.Object{}, errors.New("handover: line too long")
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err != nil {
+			return jsonval.Object{}, fmt.Errorf("handover: %w", err)
+		}
+		return new(jsonval.Parser).Parse(line)
+	}
+}
--- /dev/null
+++ b/internal/handover/peer_test.go
@@ -0,0 +1,250 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"liftgauge/internal/owner"
+)
+
+// process is one process of a dispatcher, as far as the other meets it.
+type process struct {
+	*Peer
+	t      *testing.T
+	ready  bool
+	known  map[string]bool // hosts, and whether they are out
+	bodies []string
+	mu     sync.Mutex
+	shares chan bool
+	stop   context.CancelFunc
+	done   chan struct{}
+	told   *Snapshot
+}
+
+func (p *process) Snapshot(context.Context) (Snapshot, error) {
+	return Snapshot{Ready: p.ready, Discovery: "127.0.0.1:1", List: []byte(`{"revision":7,"members":[]}`), State: State{Offline: []string{"s-1"}, Listed: []string{"s-1", "s-2"}}}, nil
+}
+
+func (p *process) Callback(body []byte) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bodies = append(p.bodies, string(body))
+	return 204
+}
+
+func (p *process) Offline(_ context.Context, id string, out, sure bool) (bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id == "s-stuck" {
+		return true, errors.New("stuck")
+	}
+	if _, known := p.known[id]; known || sure {
+		p.known[id] = out
+		return true, nil
+	}
+	return false, nil
+}
+
+func (p *process) Share(on bool) { p.shares <- on }
+
+// start starts a process that meets others in the folder.
+func start(t *testing.T, dir string) *process {
+	t.Helper()
+	p := &process{t: t, known: map[string]bool{"s-1": false}, shares: make(chan bool, 8), done: make(chan struct{}), ready: true}
+	var err error
+	if p.Peer, err = NewPeer(dir, "n0", 2, quiet); err != nil {
+		t.Fatal(err)
+	}
+	p.Handler = p
+	if p.told, err = p.Join(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	p.stop = stop
+	go func() { p.Run(ctx); close(p.done) }()
+	t.Cleanup(p.end)
+	return p
+}
+
+func (p *process) end() {
+	p.stop()
+	<-p.done
+}
+
+// TestUpgrade: the new process is told what the old one knows, either does what the other asks, and the end of one is
+// seen by the other at once.
+func TestUpgrade(t *testing.T) {
+	for _, dir := range []string{t.TempDir(), filepath.Join(t.TempDir(), strings.Repeat("long/", 30))} {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		// A process that was killed has left its socket.
+		f, err := openFolder(dir, "n0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		stale, err := net.Listen("unix", f.address("liftgauge-n0.00000000.sock"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stale.(*net.UnixListener).SetUnlinkOnClose(false)
+		stale.Close()
+
+		old := start(t, dir)
+		if old.told != nil || old.Live() {
+			t.Fatalf("joined nobody and was told %+v", old.told)
+		}
+		if all, _ := f.sockets(); len(all) != 1 {
+			t.Errorf("sockets %v: the stale one is still there", all)
+		}
+		if _, err := old.Peer.Callback(nil); !errors.Is(err, owner.ErrNobody) {
+			t.Errorf("asked nobody: %v", err)
+		}
+		next := start(t, dir)
+		if s := next.told; s == nil || s.Discovery != "127.0.0.1:1" || !strings.Contains(string(s.List), `"revision":7`) ||
+			strings.Join(s.Offline, ",")+" "+strings.Join(s.Listed, ",") != "s-1 s-1,s-2" {
+			t.Fatalf("told %+v", next.told)
+		}
+		if !<-old.shares || !next.Live() {
+			t.Error("no sharing")
+		}
+		if old.Succeeded() || next.Succeeded() {
+			t.Error("succeeded by one that is not ready")
+		}
+		if err := next.Announce(); err != nil || !old.Succeeded() || next.Succeeded() {
+			t.Errorf("announced: %v, succeeded %v", err, old.Succeeded())
+		}
+		for _, way := range []struct{ from, to *process }{{old, next}, {next, old}} {
+			body := "{\"id\":\"\\u0000\xff\n\"}"
+			if status, err := way.from.Peer.Callback([]byte(body)); status != 204 || err != nil || len(way.to.bodies) != 1 || way.to.bodies[0] != body {
+				t.Errorf("call-back: %d, %v, %q", status, err, way.to.bodies)
+			}
+			for _, c := range []struct {
+				id   string
+				sure bool
+				want bool
+				err  bool
+			}{{"s-1", false, true, false}, {"s-9", false, false, false}, {"s-8", true, true, false}, {"s-stuck", false, false, true}} {
+				known, err := way.from.Peer.Offline(c.id, true, c.sure)
+				if known != c.want || (err != nil) != c.err || way.to.known[c.id] != c.want {
+					t.Errorf("%s: known %v, %v", c.id, known, err)
+				}
+			}
+		}
+		next.end()
+		if <-old.shares || old.Live() || old.Succeeded() { // a successor that dies leaves the old one whole
+			t.Error("the end of the successor is not seen")
+		}
+		third := start(t, dir)
+		if third.told == nil || !<-old.shares {
+			t.Fatal("a second upgrade finds nobody")
+		}
+		old.end()
+		if <-third.shares || third.Live() {
+			t.Error("the end of the old process is not seen")
+		}
+		if _, err := third.Peer.Callback(nil); !errors.Is(err, owner.ErrNobody) {
+			t.Errorf("asked one that has ended: %v", err)
+		}
+		third.end()
+		if all, _ := f.sockets(); len(all) != 0 {
+			t.Errorf("sockets left: %v", all)
+		}
+		f.close()
+	}
+}
+
+// TestNotReady: a process that does not serve yet is not followed, and what another dispatcher's processes keep in the
+// same folder is left alone.
+func TestNotReady(t *testing.T) {
+	dir := t.TempDir()
+	other := filepath.Join(dir, "liftgauge-n00.00000000.sock")
+	if err := os.WriteFile(other, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	old := start(t, dir)
+	old.ready = false
+	if next := start(t, dir); next.told != nil || next.Live() {
+		t.Errorf("told %+v", next.told)
+	}
+	if !<-old.shares || <-old.shares {
+		t.Error("sharing with nobody")
+	}
+	if _, err := os.Stat(other); err != nil {
+		t.Error(err)
+	}
+}
+
+// FuzzAsked: whatever comes on the socket, nothing panics and a good question is answered after it.
+func FuzzAsked(f *testing.F) {
+	f.Add([]byte(`{"op":"hello"}` + "\n"))
+	f.Add([]byte(`{"op":"ready","socket":3}` + "\n"))
+	f.Add([]byte(`{"op":"offline","id":{}}` + "\n"))
+	f.Add([]byte("[]\n{"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		dir := t.TempDir()
+		old := start(t, dir)
+		next := start(t, dir)
+		c, err := net.Dial("unix", old.folder.address(old.socket))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(in)
+		c.(*net.UnixConn).CloseWrite()
+		defer c.Close()
+		if status, err := next.Peer.Callback([]byte("x")); status != 204 && old.Live() {
+			t.Errorf("%d, %v", status, err)
+		}
+	})
+}
+
+// TestListen: an inherited socket is used, and to close it here leaves it open to the others.
+func TestListen(t *testing.T) {
+	platform, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer platform.Close()
+	for range 2 {
+		f, err := platform.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fd, err := syscall.Dup(int(f.Fd())) // Listen closes what it is given
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		l, err := Listen(t.Context(), "127.0.0.1:1", strconv.Itoa(fd))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", platform.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken.Close()
+		c.Close()
+		l.Close()
+	}
+	for _, bad := range []string{"x", "-1", "1", "999"} {
+		if _, err := Listen(t.Context(), "127.0.0.1:0", bad); err == nil || !strings.HasPrefix(err.Error(), "LB_INHERITED_FD") {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+	if _, err := Listen(t.Context(), platform.Addr().String(), ""); err == nil || !strings.HasPrefix(err.Error(), "listen") {
+		t.Errorf("taken address: %v", err)
+	}
+}
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -13,8 +13,6 @@
 	"strings"
 	"sync"
 
-	"github.com/valyala/fastjson"
-
 	"liftgauge/internal/jsonval"
 )
 
@@ -94,6 +92,14 @@
 	}
 }
 
+// Adopt takes the word of a process that serves: what is out there is out here, and nothing else.
+func (s *Store) Adopt(state State) {
+	s.mu.Lock()
+	clear(s.offline)
+	s.mu.Unlock()
+	s.Add(state)
+}
+
 // Listed notes names that the inventory has listed. It does not wait for the file: Run saves them.
 func (s *Store) Listed(names []string) {
 	s.Add(State{Listed: names})
@@ -163,18 +169,8 @@
 	s.writing.Lock()
 	defer s.writing.Unlock()
 	state := s.State()
-	var a fastjson.Arena
-	names := func(all []string) *fastjson.Value {
-		v := a.NewArray()
-		for i, name := range all {
-			v.SetArrayItem(i, a.NewString(name))
-		}
-		return v
-	}
-	o := a.NewObject()
-	o.Set("offline", names(state.Offline))
-	o.Set("listed", names(state.Listed))
-	return replace(s.path, o.MarshalTo(nil))
+	text := jsonval.AppendObject(nil, jsonval.Is("offline", state.Offline), jsonval.Is("listed", state.Listed))
+	return replace(s.path, text)
 }
 
 // replace puts a file in the place of another at once: whoever reads sees the one or the other.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -54,6 +54,7 @@
 	address  string
 	since    int64 // the version of the list held
 	badLines atomic.Int64
+	told     atomic.Pointer[place] // address and since, for other goroutines
 
 	standing *watch // the one that is followed
 	next     *watch // the one that is to take its place after a move
@@ -81,14 +82,29 @@
 	err  error
 }
 
+type place struct {
+	address string
+	since   int64
+}
+
+// Where returns the address that counts, and the version of the list that has been handed on.
+func (c *Client) Where() (address string, since int64) {
+	p := c.told.Load()
+	return p.address, p.since
+}
+
+func (c *Client) tell() { c.told.Store(&place{c.address, c.since}) }
+
 // New returns a Client that holds a list of the given version.
 func New(address string, since int64, zones, kinds []string, log *slog.Logger) *Client {
 	var dialer net.Dialer
-	return &Client{address: address, since: since, Zones: zones, Kinds: kinds, Log: log, pause: firstPause,
+	c := &Client{address: address, since: since, Zones: zones, Kinds: kinds, Log: log, pause: firstPause,
 		asked: make(chan struct{}, 1), moved: make(chan string, 1), events: make(chan event),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}
+	c.tell()
+	return c
 }
 
 // Watch asks for a watch; one that is open is made anew. It does not block.
@@ -134,6 +150,7 @@
 			if address != c.address {
 				c.Log.Info("discovery moves", "from", c.address, "to", address, "revision", c.since)
 				c.address, c.moving, c.pause = address, true, firstPause
+				c.tell()
 				c.retry.Stop()
 				c.end(c.next)
 				c.next = c.start(ctx, moveWithin)
@@ -185,6 +202,7 @@
 		c.Sink.List(balance.ListChanges, e.list.Hosts)
 	}
 	c.since = e.list.Revision
+	c.tell()
 }
 
 // ended sees to what follows the end of a watch.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -259,3 +260,19 @@
 		}
 	})
 }
+
+// TestEncode: a list that is written for another process reads as it was.
+func TestEncode(t *testing.T) {
+	d := Decoder{Zones: []string{"caroni", "couva"}, Kinds: []string{"full-box", "slow-box"}}
+	const text = `{"revision":43,"complete":true,"members":[` +
+		`{"id":"s-1","host_port":"10.1.0.18:8443","locality":"couva","flavor":"slow-box","cell":3,"phase":"DRAINING","size":0.6,"up_since_ms":1796130000123},` +
+		`{"id":"s-\"2","host_port":"10.1.0.19:8443","locality":"elsewhere","flavor":"full-box","cell":0,"phase":"SERVING","size":1,"up_since_ms":0}]}`
+	want, err := d.Decode([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := d.Decode(d.Encode(want))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, %v, want %+v", got, err, want)
+	}
+}
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -58,6 +58,30 @@
 	return l, o.Err()
 }
 
+// Encode writes a list in the form that Decode reads.
+func (d *Decoder) Encode(l List) []byte {
+	members := []byte{'['}
+	for i, h := range l.Hosts {
+		if i > 0 {
+			members = append(members, ',')
+		}
+		w := h.Worker
+		phase := [...]string{balance.Ready: "SERVING", balance.Draining: "DRAINING", balance.Gone: "DELETED"}[w.State]
+		members = jsonval.AppendObject(members, jsonval.Is("id", h.Name), jsonval.Is("host_port", h.Address),
+			jsonval.Is("locality", name(d.Zones, w.Zone)), jsonval.Is("flavor", name(d.Kinds, w.Kind)), jsonval.Is("cell", w.Cell),
+			jsonval.Is("phase", phase), jsonval.Is("size", w.Weight), jsonval.Is("up_since_ms", w.Up.Milliseconds()))
+	}
+	return jsonval.AppendObject(nil, jsonval.Is("revision", l.Revision), jsonval.Is("complete", l.Complete), jsonval.Is("members", append(members, ']')))
+}
+
+// name is the reverse of index.
+func name(names []string, i int) string {
+	if i >= 0 && i < len(names) {
+		return names[i]
+	}
+	return ""
+}
+
 // index is the module's number of a name. One that the settings lack gets the next number after theirs.
 func index(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -164,15 +164,8 @@
 		if head.Method != "POST" {
 			return c.finish(405, last, http1.Fields{{Name: "Allow", Value: "POST"}}, nil)
 		}
-		report, err := parseReport(body)
-		switch {
-		case err != nil:
-			c.s.Log.Warn("malformed call-back", "err", err)
-			return c.finish(400, last, nil, []byte(err.Error()+"\n"))
-		case !c.s.Desk.Reported(report):
-			return c.finish(503, last, nil, nil) // the host says it again
-		}
-		return c.finish(204, last, nil, nil)
+		status, reason := c.s.callback(body)
+		return c.finish(status, last, nil, reason)
 	}
 	m, err := c.s.message(head, body)
 	var e *http1.Error
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -1,6 +1,7 @@
 package north
 
 import (
+	"errors"
 	"math"
 	"strconv"
 	"strings"
@@ -115,6 +116,56 @@
 	return true
 }
 
+// callback deals with a host's call. While another process serves at the same address the message may be that one's.
+func (s *Server) callback(body []byte) (status int, reason []byte) {
+	other := s.Other != nil && s.Other.Live()
+	status, known, reason := s.report(body, other)
+	if status != 204 || known || !other {
+		return status, reason
+	}
+	switch status, err := s.Other.Callback(body); {
+	case err == nil:
+		return status, nil
+	case errors.Is(err, owner.ErrNobody): // it has ended, and with it its messages: a late word, for nobody
+		return 204, nil
+	default:
+		s.Log.Warn("call-back not handed on", "err", err)
+		return 503, nil // the host says it again
+	}
+}
+
+// Callback deals with a host's call that came to another process at the same address.
+func (s *Server) Callback(body []byte) (status int) {
+	status, _, _ = s.report(body, true)
+	return status
+}
+
+// report hands a call-back to the owner. Where it waits, known says whether the message is open here.
+func (s *Server) report(body []byte, wait bool) (status int, known bool, reason []byte) {
+	report, err := parseReport(body)
+	if err != nil {
+		s.Log.Warn("malformed call-back", "err", err)
+		return 400, false, []byte(err.Error() + "\n")
+	}
+	var told chan bool
+	var tell func(bool)
+	if wait {
+		told = make(chan bool, 1)
+		tell = func(known bool) { told <- known }
+	}
+	if !s.Desk.Reported(report, tell) {
+		return 503, false, nil // the host says it again
+	}
+	if wait {
+		select {
+		case known = <-told:
+		case <-s.ended:
+			return 503, false, nil
+		}
+	}
+	return 204, known, nil
+}
+
 // parseReport reads a call-back.
 func parseReport(body []byte) (owner.Report, error) {
 	var p jsonval.Parser
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -32,12 +32,20 @@
 type Desk interface {
 	Submit(m *owner.Message) bool
 	Gone(m *owner.Message)
-	Reported(r owner.Report) bool
+	Reported(r owner.Report, known func(bool)) bool
+}
+
+// Other is another process at the same address: a call-back may come to either.
+type Other interface {
+	Live() bool
+	// Callback has the other deal with a call-back, and returns the status that answers it.
+	Callback(body []byte) (status int, err error)
 }
 
 // Config is what a Server needs.
 type Config struct {
 	Desk     Desk
+	Other    Other           // may be nil
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
@@ -74,6 +82,11 @@
 	conns   map[*conn]struct{}
 	ended   chan struct{}
 
+	limit    atomic.Int64  // of connections; at most MaxConns
+	reserved int           // slots taken for what the limit leaves out; guarded by the lock
+	handed   chan struct{} // closed when the listener is left to another process
+	listener net.Listener  // guarded by the lock
+
 	taken   atomic.Int64 // messages without an end
 	results [][ends]atomic.Int64
 	drain   drain
@@ -114,6 +127,8 @@
 	s := &Server{Config: c, classes: map[string]int{}, conns: map[*conn]struct{}{}, ended: make(chan struct{})}
 	s.slots = make(chan struct{}, c.MaxConns)
 	s.results = make([][ends]atomic.Int64, len(c.Classes))
+	s.handed = make(chan struct{})
+	s.limit.Store(int64(c.MaxConns))
 	for i, name := range c.Classes {
 		s.classes[name] = i
 	}
@@ -163,15 +178,32 @@
 			c.shut()
 		}
 	})()
+	s.mu.Lock()
+	s.listener = l
+	select {
+	case <-s.handed: // before there was anything to leave
+		l.Close()
+	default:
+	}
+	s.mu.Unlock()
 	for {
 		select {
 		case s.slots <- struct{}{}:
+		case <-s.handed:
+			<-ctx.Done()
+			return conns.Wait()
 		case <-ctx.Done():
 			return conns.Wait()
 		}
 		raw, err := l.Accept()
 		if err != nil {
 			<-s.slots
+			select {
+			case <-s.handed:
+				<-ctx.Done()
+				return conns.Wait()
+			default:
+			}
 			if ctx.Err() != nil {
 				return conns.Wait()
 			}
@@ -188,6 +220,7 @@
 		c := newConn(s, raw)
 		full := s.add(c)
 		conns.Go(func() error {
+			defer s.reserve()
 			defer func() { <-s.slots }()
 			defer s.remove(c)
 			c.serve(full)
@@ -196,6 +229,56 @@
 	}
 }
 
+// HandOver leaves the listener to another process that has it too: it is closed, not shut down. The connections that are
+// open go on. It is called once at most.
+func (s *Server) HandOver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.handed)
+	if s.listener != nil {
+		s.listener.Close()
+	}
+}
+
+// Rest closes the connections that are idle and reports how many are left.
+func (s *Server) Rest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shutIdle()
+	return len(s.conns)
+}
+
+// SetLimit changes how many connections there may be, to a number of at most MaxConns. Idle ones over it are closed, and
+// while others are over it no new one is accepted in place of one that ends.
+func (s *Server) SetLimit(n int) {
+	s.limit.Store(int64(n))
+	s.mu.Lock()
+	over := len(s.conns) - n
+	s.mu.Unlock()
+	for ; over > 0 && s.evict(); over-- {
+	}
+	s.reserve()
+}
+
+// reserve takes slots for what the limit leaves out, or gives them back, as far as it can at once; the rest is taken
+// from the connections that end.
+func (s *Server) reserve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want := s.MaxConns - int(s.limit.Load())
+	for ; s.reserved > want; s.reserved-- {
+		<-s.slots
+	}
+	for s.reserved < want {
+		select {
+		case s.slots <- struct{}{}:
+			s.reserved++
+		default:
+			return
+		}
+	}
+}
+
 // add keeps a connection. Where there are many, the one that stood idle longest makes room: its client opens another
 // when it needs one. If none is idle, the connection is over the limit.
 func (s *Server) add(c *conn) (full bool) {
@@ -203,7 +286,8 @@
 	s.conns[c] = struct{}{}
 	n := len(s.conns)
 	s.mu.Unlock()
-	return n > s.MaxConns-spare(s.MaxConns) && !s.evict()
+	limit := int(s.limit.Load())
+	return n > limit-spare(limit) && !s.evict()
 }
 
 func (s *Server) remove(c *conn) {
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -22,6 +23,7 @@
 	full    bool
 	answer  owner.Answer
 	silent  bool // gives no answer
+	foreign bool // knows no message of a call-back
 	taken   []*owner.Message
 	gone    int
 	reports []owner.Report
@@ -31,7 +33,11 @@
 type pipes struct{ calls chan net.Conn }
 
 func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
-func (p pipes) Close() error   { close(p.calls); return nil }
+func (p pipes) Close() error {
+	defer func() { recover() }() // closed before
+	close(p.calls)
+	return nil
+}
 func (p pipes) Accept() (net.Conn, error) {
 	if c, ok := <-p.calls; ok {
 		return c, nil
@@ -81,12 +87,15 @@
 	w.gone++
 }
 
-func (w *world) Reported(r owner.Report) bool {
+func (w *world) Reported(r owner.Report, known func(bool)) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.full {
 		return false
 	}
+	if known != nil {
+		known(!w.foreign)
+	}
 	w.reports = append(w.reports, r)
 	return true
 }
@@ -374,6 +383,111 @@
 	}
 }
 
+// other is another process at the same address.
+type other struct {
+	live   bool
+	status int
+	err    error
+	bodies []string
+}
+
+func (o *other) Live() bool { return o.live }
+func (o *other) Callback(body []byte) (int, error) {
+	o.bodies = append(o.bodies, string(body))
+	return o.status, o.err
+}
+
+// TestCallbackElsewhere: a call-back for an unknown message goes to the other process while there is one, and is not
+// answered before that one has dealt with it; what is known here goes nowhere.
+func TestCallbackElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		other   other
+		foreign bool
+		want    string
+		asked   int
+	}{
+		{other{live: true, status: 204}, true, "204", 1},
+		{other{live: true, status: 204}, false, "204", 0},
+		{other{live: true, status: 503}, true, "503", 1},
+		{other{live: true, err: errors.New("silent")}, true, "503", 1},
+		{other{live: true, err: owner.ErrNobody}, true, "204", 1},
+		{other{live: false, status: 503}, true, "204", 0},
+	} {
+		within(t, 64, func(w *world) {
+			w.s.Other = &c.other
+			w.play(step{send: callback(report), set: desk{foreign: c.foreign}, want: c.want}, 0)
+			if len(c.other.bodies) != c.asked || c.asked > 0 && c.other.bodies[0] != report {
+				t.Errorf("%+v: asked %q", c, c.other.bodies)
+			}
+			w.play(step{send: callback("{}"), want: "400 id: want a name"}, 0)
+			if status := w.s.Callback([]byte(report)); status != 204 || len(c.other.bodies) != c.asked {
+				t.Errorf("from the other: %d, asked %q", status, c.other.bodies)
+			}
+		})
+	}
+}
+
+// TestHandOver: a listener that is left takes nobody, while those who are there are served and leave one by one.
+func TestHandOver(t *testing.T) {
+	served := desk{answer: owner.Answer{Kind: owner.Served}}
+	within(t, 64, func(w *world) {
+		idle := w.client
+		w.client = w.dial()
+		w.play(step{send: callback(report), want: "204"}, 0)
+		w.s.Enter(Leaving)
+		w.s.HandOver()
+		w.s.Enter(Closing)
+		synctest.Wait()
+		if _, open := <-w.l.calls; open {
+			t.Error("the listener is still open")
+		}
+		w.play(step{send: job + "\r\nhigh", set: served, want: "200", ends: true, taken: 1}, 0)
+		if idle.closed {
+			t.Error("idle closed early")
+		}
+		if left := w.s.Rest(); left > 1 {
+			t.Errorf("%d left", left)
+		}
+		synctest.Wait()
+		if left := w.s.Rest(); !idle.closed || left != 0 {
+			t.Errorf("idle closed %v, %d left", idle.closed, left)
+		}
+	})
+}
+
+// TestLimit: while two processes share, each keeps to its part; idle connections go, those in use stay until they end.
+func TestLimit(t *testing.T) {
+	const conns = 16
+	within(t, conns, func(w *world) {
+		w.desk = desk{silent: true}
+		busy := []*client{}
+		for range 6 {
+			w.client = w.dial()
+			w.send(job + "\r\nhigh")
+			busy = append(busy, w.client)
+		}
+		w.wait(2 * time.Second)
+		for range 4 {
+			w.dial()
+		}
+		w.wait(time.Second)
+		w.s.SetLimit(conns / 2)
+		synctest.Wait()
+		if n := len(w.s.conns); n != conns/2 || len(w.s.slots) != conns {
+			t.Errorf("%d connections, %d of %d places taken", n, len(w.s.slots), conns)
+		}
+		for _, c := range busy {
+			c.Close()
+		}
+		w.wait(time.Second)
+		w.s.SetLimit(conns)
+		w.wait(firstLimit)
+		if n := len(w.s.slots); n > 1 || w.s.reserved != 0 { // the place of the next one to be accepted
+			t.Errorf("%d places taken, %d reserved", n, w.s.reserved)
+		}
+	})
+}
+
 // TestManyClients guards the bound of descriptors: an idle connection makes room; where none is idle one over the limit
 // is told at once, and a silent one does not keep its place.
 func TestManyClients(t *testing.T) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,6 +96,9 @@
 	Watch()
 }
 
+// ErrNobody says that no other process is there that could own a message.
+var ErrNobody = errors.New("no other process")
+
 // Config is what an Owner needs.
 type Config struct {
 	Settings  balance.Settings
@@ -148,6 +151,7 @@
 	Host
 	shut    atomic.Bool // nothing new may be sent there
 	offline atomic.Bool // by an operator's word, which no list changes
+	listed  bool
 }
 
 // Owner owns the module.
@@ -314,26 +318,42 @@
 }
 
 // SetOffline leaves a host out, or lets it serve again, at an operator's word. It returns once that holds. Known says
-// whether the host was ever listed; one that was not is left as it is.
-func (o *Owner) SetOffline(ctx context.Context, name string, out bool) (known bool, err error) {
-	done := make(chan bool, 1)
-	select {
-	case o.lane <- func(now time.Duration) {
-		if o.ever[name] {
+// whether the host was ever listed; one that was not is left as it is, unless it is sure that it was.
+func (o *Owner) SetOffline(ctx context.Context, name string, out, sure bool) (known bool, err error) {
+	err = o.ask(ctx, func(now time.Duration) {
+		if sure {
+			o.ever[name] = true
+		}
+		if known = o.ever[name]; known {
 			o.setOffline(now, name, out)
 		}
-		done <- o.ever[name]
-	}:
-	case <-ctx.Done():
-		return false, ctx.Err()
-	case <-o.stopped:
-		return false, errors.New("the program ends")
-	}
+	})
+	return known, err
+}
+
+// Hosts returns what the inventory lists.
+func (o *Owner) Hosts(ctx context.Context) (all []Host, err error) {
+	err = o.ask(ctx, func(time.Duration) {
+		for _, h := range o.hosts {
+			if h.listed {
+				all = append(all, h.Host)
+			}
+		}
+	})
+	return all, err
+}
+
+// ask has the owner do something before all that waits in the queue, and returns when it is done.
+func (o *Owner) ask(ctx context.Context, do event) error {
+	done := make(chan struct{})
 	select {
-	case known = <-done:
-		return known, nil
+	case o.lane <- func(now time.Duration) { defer close(done); do(now) }:
+		<-done // it runs
+		return nil
 	case <-ctx.Done():
-		return false, ctx.Err()
+		return ctx.Err()
+	case <-o.stopped:
+		return errors.New("the program ends")
 	}
 }
 
@@ -373,9 +393,15 @@
 	Result    []byte
 }
 
-// Reported takes a host's word. False says that the queue is full; the host will say it again.
-func (o *Owner) Reported(r Report) bool {
-	return o.offer(func(now time.Duration) { o.reported(now, r) })
+// Reported takes a host's word. False says that the queue is full; the host will say it again. Else known, if it is
+// set, is told whether the message is open here; it must not block.
+func (o *Owner) Reported(r Report, known func(bool)) bool {
+	return o.offer(func(now time.Duration) {
+		if known != nil {
+			known(o.keys[r.Key] != nil)
+		}
+		o.reported(now, r)
+	})
 }
 
 // Written says that the last byte of an attempt is on its way, on a fresh connection or on one that had been used.
@@ -577,12 +603,13 @@
 		if w.State == balance.Gone { // a change may carry the id alone
 			h.Address = old.Address
 		}
-		old.Host = h
+		old.Host, old.listed = h, w.State != balance.Gone
 		// Where gone is advice the module may go on with a host that has left the list, but never with one that drains.
 		old.shut.Store(w.State == balance.Draining || w.State == balance.Gone && !o.Settings.GoneIsAdvice)
 	}
 	if kind == balance.ListFull || kind == balance.ListCached {
 		for id, h := range o.hosts {
+			h.listed = h.listed && listed[id]
 			if !listed[id] && !h.shut.Load() && !o.Settings.GoneIsAdvice {
 				h.shut.Store(true)
 				o.South.Forget(h.Host)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -131,7 +131,7 @@
 }
 
 func (b *bench) report(s *sent, state State, result string) {
-	b.o.Reported(Report{Key: s.a.Message.Key, From: s.a.Host.Name, State: state, Result: []byte(result)})
+	b.o.Reported(Report{Key: s.a.Message.Key, From: s.a.Host.Name, State: state, Result: []byte(result)}, nil)
 	synctest.Wait()
 }
 
@@ -153,7 +153,7 @@
 	within(t, func(t *testing.T, b *bench) {
 		m := b.submit(warning, 5*time.Second)
 		s := b.sends[0]
-		b.o.Reported(Report{Key: m.m.Key, From: "s-elsewhere", State: Done, Result: []byte("forged")})
+		b.o.Reported(Report{Key: m.m.Key, From: "s-elsewhere", State: Done, Result: []byte("forged")}, nil)
 		b.report(s, Started, "") // before the host's answer to the send
 		b.report(s, Done, "level 3")
 		b.report(s, Done, "again")
@@ -190,7 +190,7 @@
 	within(t, func(t *testing.T, b *bench) {
 		set := func(name string, out, want bool) {
 			t.Helper()
-			if known, err := b.o.SetOffline(t.Context(), name, out); err != nil || known != want {
+			if known, err := b.o.SetOffline(t.Context(), name, out, false); err != nil || known != want {
 				t.Errorf("%s: known %v, error %v", name, known, err)
 			}
 		}
@@ -247,7 +247,7 @@
 				t.Errorf("sent to %s", s.a.Host.Name)
 			}
 		}
-		if known, _ := b.o.SetOffline(ctx, "s-old", true); !known || len(listed) != 1 || len(b.sends) == 0 {
+		if known, _ := b.o.SetOffline(ctx, "s-old", true, false); !known || len(listed) != 1 || len(b.sends) == 0 {
 			t.Errorf("old name known %v, new names %v, %d sends", known, listed, len(b.sends))
 		}
 		stop()
@@ -294,7 +294,7 @@
 
 func TestQueueOverflow(t *testing.T) {
 	o := New(Config{Queue: 1})
-	if !o.Submit(&Message{}) || o.Submit(&Message{}) || o.Reported(Report{}) {
+	if !o.Submit(&Message{}) || o.Submit(&Message{}) || o.Reported(Report{}, nil) {
 		t.Error("want room for one event")
 	}
 }
--- a/internal/south/pool.go
+++ b/internal/south/pool.go
@@ -38,6 +38,7 @@
 	mu      sync.Mutex
 	hosts   map[string]*hostPool
 	open    int
+	limit   int // of those that are open
 	ended   bool
 
 	doubtTill time.Duration // no connection is kept until then,
@@ -52,7 +53,15 @@
 
 func newPool(c Config) *pool {
 	// Well before a host's machine would close it: a request that crosses such a close may have run.
-	return &pool{Config: c, idleFor: max(c.Keepalive*3/4, 8*time.Millisecond), hosts: map[string]*hostPool{}}
+	return &pool{Config: c, idleFor: max(c.Keepalive*3/4, 8*time.Millisecond), hosts: map[string]*hostPool{}, limit: c.MaxConns}
+}
+
+// setLimit changes how many may be open. Idle ones over it are closed.
+func (p *pool) setLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.limit = n; p.open > n && p.evict(); {
+	}
 }
 
 func (p *pool) host(name string) *hostPool {
@@ -94,7 +103,7 @@
 		h.idle = h.idle[:n-1]
 		return c, h.age, nil
 	}
-	if p.ended || p.open >= p.MaxConns && !p.evict() {
+	if p.ended || p.open >= p.limit && !p.evict() {
 		return nil, 0, errNoRoom
 	}
 	p.open++
@@ -148,6 +157,10 @@
 		p.shut(c)
 		return
 	}
+	if p.open > p.limit {
+		p.shut(c)
+		return
+	}
 	c.idle = p.Now()
 	h.idle = append(h.idle, c)
 }
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -111,6 +111,9 @@
 // Forget closes the idle connections to a host; those in use end with what they carry.
 func (c *Client) Forget(h owner.Host) { c.pool.forget(h.Name) }
 
+// SetLimit changes how many connections there may be, to one of at most MaxConns.
+func (c *Client) SetLimit(n int) { c.pool.setLimit(n) }
+
 // send writes the attempt and awaits the answer. 0 says that the host has taken it.
 //
 // What proves that it never ran: the connection did not come up, or failed before the last byte was written. A write
