Give a cold host without own jobs one out of turn while most jobs find no room

The debug log showed 63 messages open and attempts at 3 hosts only, while 8 of 15 listed hosts were cold, after the release and the calls online, and stood idle. Ruled out: the upgrade itself (0 requests ended at the door), hosts out by error (2 hosts, 15 attempts). At fault: ramp() in balance/balance.go, whose share falls to a ninth with few jobs placed, and turns that come with new messages only. One job at a time cannot exceed what the host does. Also: a host back online whose listed start is later than the call out is cold from then.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,22 +91,24 @@
 }
 
 // Offline leaves a worker out at an operator's word, or lets it serve again. Neither the list nor what is
-// learnt lifts that word. What is back may have been started anew meanwhile, and the list may be late to
-// tell: it counts as cold, nothing known of it holds, and the next job that may go there does.
+// learnt lifts that word. What is back was perhaps started anew, and the list may be late to tell: it counts
+// as cold (from that start if it is listed), nothing known of it holds, and it gets the next job.
 func (d *Dispatcher) Offline(now time.Duration, id WorkerID, out bool) {
-	if d.offline[id] == out {
+	since := d.offline[id]
+	if (since > 0) == out {
 		return
 	}
-	d.offline[id] = out
-	d.back = slices.DeleteFunc(d.back, func(b WorkerID) bool { return b == id })
+	d.offline[id] = now
 	if w := d.workers[id]; !out {
 		delete(d.offline, id)
-		d.back = append(d.back, id)
+		d.back = append(slices.DeleteFunc(d.back, func(b WorkerID) bool { return b == id }), id)
 		if w != nil && w.State != Gone {
 			e := w.Worker
 			w.State, w.goneAt, w.replaced = Gone, now, true
 			n := d.newWorker(e)
-			n.Worker, n.slow, n.slowAt, n.lostAt = e, 1, 0, now
+			if n.Worker, n.slow, n.slowAt = e, 1, 0; e.Up < since {
+				n.lostAt = now
+			}
 		}
 	}
 	d.changed(now)
@@ -128,7 +130,7 @@
 // good, whatever a late list says. A list that loses workers that serve, lags or flickers costs nothing then;
 // workers that are gone indeed cost a refused connection now and then, or a job where they do not refuse.
 func (d *Dispatcher) allowed(w *worker) bool {
-	if d.offline[w.ID] {
+	if d.offline[w.ID] > 0 {
 		return false
 	}
 	if d.s.GoneIsAdvice {
@@ -200,14 +202,18 @@
 
 // ramp: a cold worker gets a share of its scheduled turns, half of what the rule allows, and no overflow,
 // drawn for each turn, so that nothing saved up can meet there. In an overload turns come faster: fewer count
-// as fewer jobs find room, and of first attempts only, as what a worker turns away counts against it too.
+// as fewer jobs find room, as what is turned away counts too; but one job at a time may go there.
 func (d *Dispatcher) ramp(now time.Duration, w *worker, scheduled bool) bool {
 	c := d.warmth(now, w)
 	if c >= 1 || slices.Contains(d.back, w.ID) {
 		return true
 	}
+	draw := d.draw(uint64(w.ID)<<32 ^ uint64(d.count))
+	if w.own == 0 && d.placed < 0.5 && draw < 4/float64(d.s.Dispatchers) {
+		return true // most jobs wait here
+	}
 	c *= d.s.OverloadFactor / 2 * max(0.3, d.placed) * (1 - d.turned)
-	return scheduled && w.turn != d.count && d.draw(uint64(w.ID)<<32^uint64(d.count)) < c
+	return scheduled && w.turn != d.count && draw < c
 }
 
 // spare estimates the free slots of a worker.
@@ -266,7 +272,7 @@
 func (d *Dispatcher) Fleet(now time.Duration) (listed, avoided int) {
 	for _, w := range d.known {
 		if w.State != Gone {
-			if listed++; d.offline[w.ID] || d.out(now, w) {
+			if listed++; d.offline[w.ID] > 0 || d.out(now, w) {
 				avoided++
 			}
 		}
--- a/balance/offline_test.go
+++ b/balance/offline_test.go
@@ -80,3 +80,34 @@
 		t.Error("sent to a worker that is not listed")
 	}
 }
+
+// TestColdInOverload: while most jobs find no room a cold worker takes one at a time, beyond its share of turns. Before,
+// jobs waited for seconds while workers that had just started stood idle.
+func TestColdInOverload(t *testing.T) {
+	all := fleet(1, 1)
+	set := settings()
+	set.StartCapacity = 0.5 // a job can end in time there
+	h := newHost(t, set, all...)
+	all[1].Up = h.now
+	h.d.List(h.now, ListFull, all)
+	for i := range 40 { // they fill worker 1 and wait
+		h.job(JobID(i+1), 0)
+	}
+	h.sends = nil
+	for i := range 20 { // no more come; what worker 2 gets ends there
+		h.run(h.now + 50*ms)
+		out := 0
+		for id, to := range h.sentFor {
+			if h.answered[id] == "" && to[len(to)-1] == 2 {
+				out++
+				h.end(id, OK)
+			}
+		}
+		if i > 0 && out > 1 {
+			t.Fatalf("%d jobs at the cold worker", out)
+		}
+	}
+	if len(h.sends) < 15 {
+		t.Errorf("%d jobs in 1 s", len(h.sends))
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -124,10 +124,10 @@
 	// patience is how long a start may take where there is room: a few times the way there and back, of which the
 	// time-out of a connection allows several.
 	patience time.Duration
-	ticking  bool              // a tick is asked for
-	offline  map[WorkerID]bool // left out by operators, listed or not
-	back     []WorkerID        // no longer so, and not sent to since
-	sick     []*worker         // down or ejected
+	ticking  bool                       // a tick is asked for
+	offline  map[WorkerID]time.Duration // since when operators have left it out, listed or not
+	back     []WorkerID                 // no longer so, and not sent to since
+	sick     []*worker                  // down or ejected
 }
 
 // Timers: ask for the list, tick, look at a job; the job's id is above these bits.
@@ -290,7 +290,7 @@
 func New(s Settings, seed uint64, do Actions) *Dispatcher {
 	d := &Dispatcher{s: s, do: do, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, placed: 1, trust: 1, probe: int(seed >> 40),
 		workers: map[WorkerID]*worker{}, kinds: map[int]*kind{}, periods: map[periodKey]*period{},
-		jobs: map[JobID]*request{}, offline: map[WorkerID]bool{}}
+		jobs: map[JobID]*request{}, offline: map[WorkerID]time.Duration{}}
 	d.s.Tick = max(s.Tick, time.Millisecond)
 	d.assume()
 	d.served = make([]int, len(d.s.Classes))
