Draw first watches, remakes, probes and pauses from times that grow with the dispatchers

At fault: Start asked within 20 ms a dispatcher, and inventory.ended remade a lasting watch at once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 // Start begins the dispatcher's work on the list that it last had.
 func (d *Dispatcher) Start(now time.Duration) {
 	if d.s.MustAsk { // one service lists for all: those that start together spread their calls over a while
-		d.ask(min(d.s.AskWithin/2, time.Duration(d.s.Dispatchers)*20*time.Millisecond))
+		d.ask(min(d.s.AskWithin/2, time.Duration(d.s.Dispatchers)*100*time.Millisecond))
 	}
 	d.ticks()
 }
@@ -268,18 +268,6 @@
 	return w.down || now < w.outTill && (w.cut || !drown)
 }
 
-// Fleet counts the listed workers, and those of them that this dispatcher avoids.
-func (d *Dispatcher) Fleet(now time.Duration) (listed, avoided int) {
-	for _, w := range d.known {
-		if w.State != Gone {
-			if listed++; d.offline[w.ID] > 0 || d.out(now, w) {
-				avoided++
-			}
-		}
-	}
-	return listed, avoided
-}
-
 // route follows the period: the scheduled worker, or past k the next ready one in fixed order, wrapping;
 // where crossings have a price the period of the own zone first, that of all only past k there. Doubtful
 // workers come after all others.
@@ -522,7 +510,7 @@
 		pause = d.s.ConnectTimeout / 4
 	}
 	w.fails, w.failedAt = min(w.recent(now)+1, 6), now
-	w.outTill, w.down = now+seconds(pause.Seconds()*math.Exp2(w.fails)), down && d.s.CanProbe
+	w.outTill, w.down = now+d.around(seconds(pause.Seconds()*math.Exp2(w.fails))), down && d.s.CanProbe
 	if w.cut = down; down && w.State == Gone { // two witnesses
 		w.lostAt = now
 	}
@@ -539,7 +527,7 @@
 	for _, w := range d.sick {
 		if w.down && now >= w.outTill && d.allowed(w) {
 			d.do.Probe(w.ID)
-			w.outTill = now + d.s.ConnectTimeout<<int(w.fails)
+			w.outTill = now + d.around(d.s.ConnectTimeout<<int(w.fails))
 		}
 		if w.sick = d.allowed(w) && (w.down || now < w.outTill); w.sick {
 			kept = append(kept, w)
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -35,6 +35,11 @@
 	return w.waits > 0 || r.c.Effect == Unsafe && w.errs.lost(now) > 0.05
 }
 
+// around draws from around a time: dispatchers that saw the same thing must not all act at one moment.
+func (d *Dispatcher) around(t time.Duration) time.Duration {
+	return seconds(t.Seconds() * (0.75 + d.rng.Float64()/2))
+}
+
 // recent is what is left of a worker's failures: half after ten seconds.
 func (w *worker) recent(now time.Duration) float64 {
 	return w.fails / (1 + (now-w.failedAt).Seconds()/10)
--- a/balance/state.go
+++ b/balance/state.go
@@ -267,6 +267,18 @@
 	}
 }
 
+// Fleet counts the listed workers, and those of them that this dispatcher avoids.
+func (d *Dispatcher) Fleet(now time.Duration) (listed, avoided int) {
+	for _, w := range d.known {
+		if w.State != Gone {
+			if listed++; d.offline[w.ID] > 0 || d.out(now, w) {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
 // Progress notes how far an attempt has come.
 func (d *Dispatcher) Progress(now time.Duration, id JobID, n int, share float64) {}
 
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -35,6 +35,13 @@
 	endTick    = 10 * time.Millisecond
 )
 
+// A watch of discovery that breaks is made anew within so long for each dispatcher there is, and never later than this: what
+// discovery has to tell counts as told 6 s after a change, and that a watch is silent is noticed after 3 s.
+const (
+	remakeFor     = 20 * time.Millisecond
+	longestRemake = time.Second
+)
+
 // Descriptors that are neither clients' nor hosts' connections: the standard ones, the listener, discovery, the
 // runtime's own, and some to spare.
 const ownSockets = 14
@@ -120,6 +127,7 @@
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
+	list.Spread = min(time.Duration(c.Settings.Dispatchers)*remakeFor, longestRemake)
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
 		Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,5 +1,6 @@
 // Package inventory follows the list of south side hosts: it watches discovery and hands every list to the owner. A
-// watch that had worked for a while and broke is made anew at once, and one that broke sooner after a short pause. Where
+// watch that had worked for a while and broke is made anew at a drawn moment soon after, and one that broke sooner after a
+// short pause: whatever breaks one watch may have broken those of all dispatchers, which share one discovery. Where
 // discovery does not take the call the module hears of it and asks again when it sees fit. Where discovery moves to another address, the watch there is tried until it works, and the one
 // that stands is kept until then.
 package inventory
@@ -12,6 +13,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -48,6 +50,8 @@
 	Sink         Sink
 	Log          *slog.Logger
 	Dial         func(ctx context.Context, address string) (net.Conn, error)
+	Spread       time.Duration  // a watch that broke is made anew within it
+	Draw         func() float64 // from 0 to 1
 
 	asked    chan struct{}
 	moved    chan string
@@ -61,6 +65,7 @@
 	moving   bool   // no watch at the new address has worked yet
 	pause    time.Duration
 	retry    *time.Timer
+	within   time.Duration // for the answer to the next try
 	events   chan event
 	watches  sync.WaitGroup
 }
@@ -99,7 +104,7 @@
 func New(address string, since int64, zones, kinds []string, log *slog.Logger) *Client {
 	var dialer net.Dialer
 	c := &Client{address: address, since: since, Zones: zones, Kinds: kinds, Log: log, pause: firstPause,
-		asked: make(chan struct{}, 1), moved: make(chan string, 1), events: make(chan event),
+		Draw: rand.Float64, asked: make(chan struct{}, 1), moved: make(chan string, 1), events: make(chan event),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}}
@@ -156,7 +161,7 @@
 				c.next = c.start(ctx, moveWithin)
 			}
 		case <-c.retry.C:
-			if w := c.start(ctx, moveWithin); c.moving {
+			if w := c.start(ctx, c.within); c.moving {
 				c.next = w
 			} else {
 				c.standing = w
@@ -219,9 +224,10 @@
 	case c.moving: // the old address is done with
 		c.standing = nil
 	case w.worked && time.Since(w.began) >= lasting:
-		// While it was silent changes may have been missed that count as told some seconds later: no time to lose.
+		// While it was silent changes may have been missed that count as told some seconds later: little time to lose.
 		c.pause = firstPause
-		c.standing = c.start(ctx, answerWithin)
+		c.standing, c.within = nil, answerWithin
+		c.retry.Reset(time.Duration(c.Draw() * float64(c.Spread)))
 	case errors.Is(e.err, errBroken):
 		// Discovery is there, but its lists break off. To leave the next try to the module, which takes a failed call for a
 		// busy service and waits for seconds, let hosts that drained in the meantime get messages.
@@ -233,9 +239,10 @@
 	}
 }
 
-// again asks for a try after a pause, which grows.
+// again asks for a try after a pause, which grows and is drawn from around its length.
 func (c *Client) again() {
-	c.retry.Reset(c.pause)
+	c.within = moveWithin
+	c.retry.Reset(time.Duration(float64(c.pause) * (0.75 + c.Draw()/2)))
 	c.pause = min(2*c.pause, longerPause)
 }
 
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -75,6 +75,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &service{t: t, calls: make(chan net.Conn, 8)}
 		c := New("discovery:1", 41, []string{"a", "b"}, []string{"m1", "m2"}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c.Draw = func() float64 { return 0.5 }
 		c.Sink, c.Dial = s, s.dial
 		ctx, stop := context.WithCancel(t.Context())
 		go c.Run(ctx)
@@ -168,6 +169,21 @@
 	})
 }
 
+// TestSpread: a watch that had lasted is made anew after a drawn time. Before, all dispatchers remade theirs at once.
+func TestSpread(t *testing.T) {
+	within(t, func(s *service, c *Client) {
+		c.Spread = 700 * time.Millisecond
+		conn := s.accept()
+		chunk(conn, line(43, true, "SERVING"))
+		time.Sleep(lasting)
+		conn.Close()
+		began := time.Now()
+		if s.accept(); time.Since(began) != c.Spread/2 || s.asked[1] != "/api/targets?follow=1&since=43" {
+			t.Errorf("made anew after %v, asked %q", time.Since(began), s.asked)
+		}
+	})
+}
+
 // TestRefusedCall: a call that fails is told, and not made again before the module asks.
 func TestRefusedCall(t *testing.T) {
 	within(t, func(s *service, c *Client) {
