Check the known list before listening again; follow no process that is ending; tell the parts

The upgrade had moved the check of known behind the listener (cmd/liftgauge/serve.go): a bad file ended the program only after it had bound its address, which TestCommands shows when run twice. A third process could have joined one that is leaving.

--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -100,6 +100,10 @@
 	// Never stopped: without a handler SIGHUP ends the program, and one may come at any moment, past SIGTERM too.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	known, err := knownList(c)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	listener, err := handover.Listen(ctx, c.Listen, os.Getenv("LB_INHERITED_FD"))
@@ -112,10 +116,7 @@
 			return fmt.Errorf("control: %w", err)
 		}
 	}
-	n, known, err := meet(ctx, c, log)
-	if err != nil {
-		return err
-	}
+	n, known := meet(ctx, c, known, log)
 	// The rest of the limit is for stacks, buffers of the kernel and the binary.
 	debug.SetMemoryLimit(c.Memory * 3 / 4)
 	state := n.store.State()
@@ -136,7 +137,7 @@
 		other = n.peer
 	}
 	clients := north.New(north.Config{Desk: sink, Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
-		MaxConns: northConns, LastAnswer: lastAnswer, Now: now, Log: log})
+		MaxConns: northConns, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
 	n.owner, n.clients, n.hosts, n.list = sink.Owner, clients, hosts, list
 	if n.peer != nil {
 		n.Share(n.peer.Live())
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -36,17 +36,15 @@
 
 // meet opens what outlives a process and looks for one that is to be followed. What that one knows goes before the
 // configuration, which may be older.
-func meet(ctx context.Context, c *config.Config, log *slog.Logger) (n *node, known inventory.List, err error) {
-	n = &node{c: c, log: log}
-	if known, err = knownList(c); err != nil {
-		return nil, known, err
-	}
+func meet(ctx context.Context, c *config.Config, known inventory.List, log *slog.Logger) (*node, inventory.List) {
+	n := &node{c: c, log: log}
 	dir := os.Getenv("TMPDIR")
 	if dir == "" {
 		n.store = handover.Open("", log)
-		return n, known, nil
+		return n, known
 	}
 	var told *handover.Snapshot
+	var err error
 	if n.peer, err = handover.NewPeer(dir, c.Name, askers(c), log); err != nil { // it can serve all the same
 		log.Error("no upgrade without an interruption", "err", err)
 	} else {
@@ -57,7 +55,7 @@
 	}
 	n.store = handover.Open(filepath.Join(dir, handover.Name(c.Name, "state")), log)
 	if told == nil {
-		return n, known, nil
+		return n, known
 	}
 	n.store.Adopt(told.State)
 	if told.Discovery != "" {
@@ -70,13 +68,13 @@
 		known = list
 	}
 	log.Info("following", "discovery", c.Discovery, "hosts", len(known.Hosts), "revision", known.Revision, "offline", len(told.Offline))
-	return n, known, nil
+	return n, known
 }
 
 // Snapshot tells a successor what this process knows.
 func (n *node) Snapshot(ctx context.Context) (handover.Snapshot, error) {
-	if !n.started.Load() {
-		return handover.Snapshot{}, errors.New("not serving yet")
+	if !n.started.Load() || n.clients.Ending() { // a third process is to follow the one that stays
+		return handover.Snapshot{}, errors.New("not serving, or no longer")
 	}
 	// The version first: the hosts may then be newer than it says, and changes told twice do no harm.
 	address, revision := n.list.Where()
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -20,9 +20,8 @@
 )
 
 const (
-	callWithin  = 300 * time.Millisecond // to reach the other's socket
-	askWithin   = 500 * time.Millisecond // for an answer to what is asked there
-	tellWithin  = 1500 * time.Millisecond
+	askWithin   = 500 * time.Millisecond  // to reach the other process and have its answer: operators wait 1 s for theirs
+	helloWithin = 1500 * time.Millisecond // for a snapshot: a process that hangs must not keep the new one from serving
 	maxLine     = 4 << 20
 	acceptPause = 10 * time.Millisecond
 )
@@ -53,6 +52,8 @@
 	Log     *slog.Logger
 	Asks    int // how many questions may be open each way
 
+	askWithin, helloWithin time.Duration
+
 	folder *folder
 	socket string
 	l      net.Listener
@@ -82,7 +83,7 @@
 	var id [4]byte
 	rand.Read(id[:])
 	p := &Peer{Log: log, Asks: max(asks, 1), folder: f, socket: f.prefix + hex.EncodeToString(id[:]) + socketEnd,
-		conns: map[net.Conn]struct{}{}}
+		conns: map[net.Conn]struct{}{}, askWithin: askWithin, helloWithin: helloWithin}
 	p.asks = make(chan struct{}, p.Asks)
 	if p.l, err = net.Listen("unix", f.address(p.socket)); err != nil {
 		f.close()
@@ -115,7 +116,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	ctx, stop := context.WithTimeout(ctx, tellWithin)
+	ctx, stop := context.WithTimeout(ctx, p.helloWithin)
 	defer stop()
 	for _, socket := range sockets {
 		if socket == p.socket {
@@ -146,8 +147,6 @@
 }
 
 func (p *Peer) dial(ctx context.Context, socket string) (net.Conn, error) {
-	ctx, stop := context.WithTimeout(ctx, callWithin)
-	defer stop()
 	var d net.Dialer
 	return d.DialContext(ctx, "unix", p.folder.address(socket))
 }
@@ -226,7 +225,7 @@
 	if l == nil {
 		return none, owner.ErrNobody
 	}
-	ctx, stop := context.WithTimeout(context.Background(), askWithin)
+	ctx, stop := context.WithTimeout(context.Background(), p.askWithin)
 	defer stop()
 	select {
 	case p.asks <- struct{}{}:
@@ -322,14 +321,14 @@
 
 // answer reads one question and answers it. One that is a successor's first becomes the link.
 func (p *Peer) answer(ctx context.Context, c net.Conn) {
-	c.SetDeadline(time.Now().Add(tellWithin))
+	c.SetDeadline(time.Now().Add(p.helloWithin))
 	r := bufio.NewReader(c)
 	o, err := readLine(r)
 	if err != nil {
 		p.drop(c)
 		return
 	}
-	asking, stop := context.WithTimeout(ctx, askWithin)
+	asking, stop := context.WithTimeout(ctx, p.askWithin)
 	defer stop()
 	var reply []jsonval.Member
 	switch o.Text("op") {
--- a/internal/handover/peer_test.go
+++ b/internal/handover/peer_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"liftgauge/internal/owner"
 )
@@ -64,6 +65,7 @@
 		t.Fatal(err)
 	}
 	p.Handler = p
+	p.askWithin, p.helloWithin = time.Minute, time.Minute // a busy machine changes no verdict
 	if p.told, err = p.Join(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -45,7 +45,7 @@
 		}
 		job.Left = min(time.Duration(ms)*time.Millisecond, time.Hour)
 	}
-	if Phase(s.phase.Load()) != Serving { // the program may be killed soon after: what it has not answered by then would be lost
+	if s.Ending() { // the program may be killed soon after: what it has not answered by then would be lost
 		job.Left = min(job.Left, max(0, time.Duration(s.last.Load())-s.Now()))
 	}
 	job.Left = s.drain.left(s.Now(), job.Left)
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"liftgauge/balance"
+	"liftgauge/internal/invariant"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/sock"
 )
@@ -53,6 +54,7 @@
 	LastAnswer time.Duration
 	Now        func() time.Duration
 	Log        *slog.Logger
+	Check      *invariant.Checker
 }
 
 // Phase is how far a planned end has come.
@@ -115,7 +117,7 @@
 // end counts the end of a message.
 func (s *Server) end(class, how int) {
 	s.results[class][how].Add(1)
-	s.taken.Add(-1)
+	s.Check.Check(s.taken.Add(-1) >= 0, "more messages ended than were taken")
 }
 
 // spare connections are taken over the limit, only to be told so: waiting in the kernel their requests would count as
@@ -163,6 +165,9 @@
 // at is how far a planned end or a drain has come, whichever is further.
 func (s *Server) at() Phase { return max(Phase(s.phase.Load()), s.drain.at(s.Now())) }
 
+// Ending says whether a planned end is under way.
+func (s *Server) Ending() bool { return Phase(s.phase.Load()) != Serving }
+
 // Ready says whether clients are welcome.
 func (s *Server) Ready() bool { return s.at() == Serving }
 
