Ask for the list at once in a process that takes over, whatever the number of dispatchers

Seen by reading: with 48 dispatchers the first watch waited up to 4.8 s (Start in balance/balance.go, since the jitter), while news counts as told 2 s after the new process has said yes. It starts alone and has a fresh list, so it may ask at once. It also takes the old process's list whatever its version: that one was following discovery until now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,9 @@
 
 // Start begins the dispatcher's work on the list that it last had.
 func (d *Dispatcher) Start(now time.Duration) {
-	if d.s.MustAsk { // one service lists for all: those that start together spread their calls over a while
+	if d.s.MustAsk && d.s.Follows {
+		d.ask(0) // it starts alone, and must not miss what the process before would have heard
+	} else if d.s.MustAsk { // one service lists for all: those that start together spread their calls
 		d.ask(min(d.s.AskWithin/2, time.Duration(d.s.Dispatchers)*100*time.Millisecond))
 	}
 	d.ticks()
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -131,7 +131,7 @@
 	list.Spread = min(time.Duration(c.Settings.Dispatchers)*remakeFor, longestRemake)
 	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
-		Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
+		Follows: n.follows, Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
 	var other north.Other
 	if n.peer != nil {
 		other = n.peer
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -29,6 +29,7 @@
 	hosts   *south.Client
 	list    *inventory.Client
 	log     *slog.Logger
+	follows bool        // its list is that of a process before it
 	started atomic.Bool // it takes clients, and the process before knows
 
 	calls sync.Mutex // operators' calls that change something go one after another
@@ -64,8 +65,8 @@
 	decoder := inventory.Decoder{Zones: c.Zones, Kinds: c.Kinds}
 	if list, err := decoder.Decode(told.List); err != nil {
 		log.Error("list of the process before not taken", "err", err)
-	} else if list.Revision >= known.Revision {
-		known = list
+	} else {
+		known, n.follows = list, true
 	}
 	log.Info("following", "discovery", c.Discovery, "hosts", len(known.Hosts), "revision", known.Revision, "offline", len(told.Offline))
 	return n, known
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -111,6 +111,7 @@
 	Log       *slog.Logger
 	Check     *invariant.Checker
 
+	Follows bool                // Known is fresh: a process that this one takes over from had it
 	Ever    []string            // names that were listed before, in earlier processes too
 	Offline []string            // of these, hosts that operators have left out
 	Listed  func(name []string) // if set, told of names that were never listed before; must not block
@@ -207,7 +208,7 @@
 	now := o.Now()
 	o.wheel = wheel.New[timer](o.Settings.Tick, now)
 	settings := o.Settings
-	settings.TellsWritten = true
+	settings.TellsWritten, settings.Follows = true, o.Follows
 	o.module = balance.New(settings, o.Seed, actions{o})
 	o.wheel.Add(now+tellEvery, timer{tell: true})
 	for _, name := range o.Ever {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -255,6 +255,31 @@
 	})
 }
 
+// TestFollows: where many dispatchers share discovery the first watch waits for its turn, but not in a process that takes
+// over: what changes soon after counts as told 2 s after it has said that it is ready.
+func TestFollows(t *testing.T) {
+	for _, follows := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &bench{t: t}
+			settings := testSettings()
+			settings.Dispatchers = 48
+			b.o = New(Config{Settings: settings, Seed: 7, Follows: follows, South: b, Inventory: b, Queue: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				Check: &invariant.Checker{}, Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
+			ctx, stop := context.WithCancel(t.Context())
+			go b.o.Run(ctx)
+			b.wait(20 * time.Millisecond)
+			if b.watches != map[bool]int{true: 1}[follows] {
+				t.Errorf("follows %v: %d watches at once", follows, b.watches)
+			}
+			if b.wait(5 * time.Second); b.watches != 1 {
+				t.Errorf("follows %v: %d watches in 5 s", follows, b.watches)
+			}
+			stop()
+			synctest.Wait()
+		})
+	}
+}
+
 // TestSameIDTwice guards the first message of two with one id: its table entry must not be replaced.
 func TestSameIDTwice(t *testing.T) {
 	within(t, func(t *testing.T, b *bench) {
