Take back what is shared with a successor that does not get ready in 8 s

Seen by reading: a new process that hangs before it is ready kept the old one at half of its descriptors and memory for as long as it lived (internal/handover/peer.go), though nothing else was lost.

--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -22,6 +22,7 @@
 const (
 	askWithin   = 500 * time.Millisecond  // to reach the other process and have its answer: operators wait 1 s for theirs
 	helloWithin = 1500 * time.Millisecond // for a snapshot: a process that hangs must not keep the new one from serving
+	readyWithin = 8 * time.Second         // for a successor to take clients: the platform waits 6 s
 	maxLine     = 4 << 20
 	acceptPause = 10 * time.Millisecond
 )
@@ -52,7 +53,7 @@
 	Log     *slog.Logger
 	Asks    int // how many questions may be open each way
 
-	askWithin, helloWithin time.Duration
+	askWithin, helloWithin, readyWithin time.Duration
 
 	folder *folder
 	socket string
@@ -71,7 +72,10 @@
 	r      *bufio.Reader
 	socket string // where to ask the other
 	elder  bool   // the other was there first
-	ready  bool   // the other, if it is the successor, takes clients. Guarded by the peer's lock.
+
+	// Guarded by the peer's lock; of a successor.
+	ready bool // it takes clients
+	late  bool // it has not come to that in time, and this process has taken back what it shared
 }
 
 // NewPeer binds this process's socket in the folder that all processes of the dispatcher share.
@@ -83,7 +87,7 @@
 	var id [4]byte
 	rand.Read(id[:])
 	p := &Peer{Log: log, Asks: max(asks, 1), folder: f, socket: f.prefix + hex.EncodeToString(id[:]) + socketEnd,
-		conns: map[net.Conn]struct{}{}, askWithin: askWithin, helloWithin: helloWithin}
+		conns: map[net.Conn]struct{}{}, askWithin: askWithin, helloWithin: helloWithin, readyWithin: readyWithin}
 	p.asks = make(chan struct{}, p.Asks)
 	if p.l, err = net.Listen("unix", f.address(p.socket)); err != nil {
 		f.close()
@@ -264,6 +268,36 @@
 	}
 }
 
+// overdue takes back what is shared with a successor that does not get ready: a version that cannot serve must not cost the
+// one that does. It may still come to it, and the link stays.
+func (p *Peer) overdue(l *link) {
+	p.mu.Lock()
+	l.late = p.other == l && !l.ready
+	late := l.late
+	p.mu.Unlock()
+	if late {
+		p.Log.Error("handover: the new process does not get ready")
+		p.Handler.Share(false)
+	}
+}
+
+// taken notes that the successor of that socket takes clients.
+func (p *Peer) taken(socket string) bool {
+	p.mu.Lock()
+	l := p.other
+	if l == nil || l.elder || l.socket != socket {
+		p.mu.Unlock()
+		return false
+	}
+	again := l.late
+	l.ready, l.late = true, false
+	p.mu.Unlock()
+	if again {
+		p.Handler.Share(true)
+	}
+	return true
+}
+
 // watch waits for the end of a link, which is the end of the other process.
 func (p *Peer) watch(l *link) {
 	io.Copy(io.Discard, l.r)
@@ -348,16 +382,13 @@
 			jsonval.Is("offline", s.Offline), jsonval.Is("listed", s.Listed)); err == nil {
 			c.SetDeadline(time.Time{})
 		}
+		defer time.AfterFunc(p.readyWithin, func() { p.overdue(l) }).Stop()
 		p.watch(l) // where it was not told the deadline ends the link
 		return
 	case "ready":
-		p.mu.Lock()
-		l := p.other
-		if l != nil && !l.elder && l.socket == o.Text("socket") {
-			l.ready = true
+		if p.taken(o.Text("socket")) {
 			reply = append(reply, jsonval.Is("done", true))
 		}
-		p.mu.Unlock()
 	case "callback":
 		reply = append(reply, jsonval.Is("status", p.Handler.Callback([]byte(o.Text("body")))))
 	case "offline":
--- a/internal/handover/peer_test.go
+++ b/internal/handover/peer_test.go
@@ -57,7 +57,10 @@
 func (p *process) Share(on bool) { p.shares <- on }
 
 // start starts a process that meets others in the folder.
-func start(t *testing.T, dir string) *process {
+func start(t *testing.T, dir string) *process { return startWithin(t, dir, time.Minute) }
+
+// startWithin starts one that gives a successor so long to get ready.
+func startWithin(t *testing.T, dir string, ready time.Duration) *process {
 	t.Helper()
 	p := &process{t: t, known: map[string]bool{"s-1": false}, shares: make(chan bool, 8), done: make(chan struct{}), ready: true}
 	var err error
@@ -65,7 +68,7 @@
 		t.Fatal(err)
 	}
 	p.Handler = p
-	p.askWithin, p.helloWithin = time.Minute, time.Minute // a busy machine changes no verdict
+	p.askWithin, p.helloWithin, p.readyWithin = time.Minute, time.Minute, ready // a busy machine changes no verdict
 	if p.told, err = p.Join(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -185,6 +188,23 @@
 	}
 }
 
+// TestNeverReady: a successor that does not get ready in time costs the old process nothing, and may still come to it.
+func TestNeverReady(t *testing.T) {
+	dir := t.TempDir()
+	old := startWithin(t, dir, time.Millisecond)
+	next := start(t, dir)
+	if !<-old.shares || <-old.shares || old.Succeeded() {
+		t.Error("still shares with one that is not ready")
+	}
+	if err := next.Announce(); err != nil || !<-old.shares || !old.Succeeded() {
+		t.Errorf("late but ready: %v", err)
+	}
+	next.end()
+	if <-old.shares || old.Succeeded() {
+		t.Error("the end of the successor is not seen")
+	}
+}
+
 // FuzzAsked: whatever comes on the socket, nothing panics and a good question is answered after it.
 func FuzzAsked(f *testing.F) {
 	f.Add([]byte(`{"op":"hello"}` + "\n"))
