End timers with the message that they time

An answered message stayed on the wheel, with its payload, until its patience was over: under full load 5 s of bodies, more than the memory that the program may use.

The wheel can stop a timer now, in constant time, and uses its entries again. The owner stops a message's deadline and the module's looks at it once the message is settled, and an attempt's time-out when the attempt ends.

--- a/balance/state.go
+++ b/balance/state.go
@@ -279,6 +279,12 @@
 	return listed, avoided
 }
 
+// JobOf returns the job that a timer's token is about, if it is about one. Once the job is answered and has no attempt
+// out the timer is of no use.
+func JobOf(token uint64) (JobID, bool) {
+	return JobID(token >> tokenBits), token&(1<<tokenBits-1) == jobToken
+}
+
 // Progress notes how far an attempt has come.
 func (d *Dispatcher) Progress(now time.Duration, id JobID, n int, share float64) {}
 
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if end < p.end {
-		o.later = append(o.later, func(time.Duration) { o.wheel.Add(end, timer{attempt: a}) })
+		a.timer = o.wheel.Add(end, timer{attempt: a})
 	}
 	o.Log.Debug("attempt", "message", p.Key, "host", a.Host.Name, "kind", a.Host.Worker.Kind, "zone", a.Host.Worker.Zone, "cell", a.Host.Worker.Cell,
 		"waited", a.sent-p.Arrived)
@@ -88,7 +88,12 @@
 
 // Timer keeps a token on the wheel.
 func (c actions) Timer(after time.Duration, token uint64) {
-	c.o.wheel.Add(c.o.Now()+after, timer{token: token})
+	t := c.o.wheel.Add(c.o.Now()+after, timer{token: token})
+	if id, ok := balance.JobOf(token); ok {
+		if p := c.o.jobs[id]; p != nil {
+			p.timers = append(p.timers, t)
+		}
+	}
 }
 
 // Watch asks for the inventory's changes.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,6 +67,7 @@
 	stop   context.CancelCauseFunc
 	host   *host
 	barred atomic.Bool
+	timer  wheel.Timer[timer] // its time-out, where it has one of its own
 }
 
 func (a *Attempt) clear() bool {
@@ -146,6 +147,7 @@
 	mayHave  bool // an attempt may have run
 	out      int
 	attempts []*Attempt
+	timers   []wheel.Timer[timer] // its deadline, and what the module asked for: they end with it
 }
 
 type host struct {
@@ -440,7 +442,7 @@
 	o.last++
 	p := &open{Message: m, id: o.last, end: m.Arrived + m.Job.Left}
 	o.jobs[p.id], o.keys[m.Key] = p, p
-	o.wheel.Add(p.end+Grace, timer{open: p})
+	p.timers = append(make([]wheel.Timer[timer], 0, 4), o.wheel.Add(p.end+Grace, timer{open: p}))
 	job := m.Job
 	job.ID, job.Left = p.id, max(0, p.end-now)
 	o.module.Job(now, job)
@@ -469,11 +471,15 @@
 	o.settle(p)
 }
 
-// settle forgets a message that is answered and has no attempt out.
+// settle forgets a message that is answered and has no attempt out. Its timers go with it: left on the wheel they would
+// hold it, with all that the client sent, until its patience is over.
 func (o *Owner) settle(p *open) {
 	if p.answered && p.out == 0 && o.jobs[p.id] == p {
 		delete(o.jobs, p.id)
 		delete(o.keys, p.Key)
+		for _, t := range p.timers {
+			o.wheel.Stop(t)
+		}
 	}
 }
 
@@ -566,6 +572,7 @@
 	}
 	a.over = true
 	a.stop(ErrSettled)
+	o.wheel.Stop(a.timer)
 	p := a.open
 	o.Log.Debug("attempt ended", "message", p.Key, "host", a.Host.Name, "status", status, "took", now-a.sent)
 	p.out--
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -478,3 +478,31 @@
 		b.t.Errorf("send to %s, which drains", s.a.Host.Name)
 	}
 }
+
+// TestNothingLeftOnTheWheel guards against timers that outlive what they time: a served message that stays on the wheel
+// until its deadline is held with its payload, and 5 s of load are more than the memory there is.
+func TestNothingLeftOnTheWheel(t *testing.T) {
+	within(t, func(t *testing.T, b *bench) {
+		idle := b.o.wheel.Len()
+		for i := range 20 {
+			m := b.submit(i%2, 5*time.Second)
+			s := b.sends[len(b.sends)-1]
+			switch i % 4 {
+			case 0, 1:
+				b.report(s, Done, "")
+			case 2:
+				b.ended(s, balance.Reset)
+				for _, s := range b.sends[len(b.sends)-1:] {
+					b.report(s, Done, "")
+				}
+			default:
+				b.o.Gone(m.m)
+				synctest.Wait()
+				b.ended(s, balance.Cancelled)
+			}
+		}
+		if len(b.o.jobs) != 0 || b.o.wheel.Len() > idle+1 { // the module's own tick may be on it
+			t.Errorf("%d jobs, %d timers, at first %d", len(b.o.jobs), b.o.wheel.Len(), idle)
+		}
+	})
+}
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -1,5 +1,6 @@
-// Package wheel keeps timers as coarse ticks on a hashed wheel. Adding one is constant work, and so is finding when
-// the next tick with a timer is due, so an idle program need not wake at every tick. It is not safe for concurrent use.
+// Package wheel keeps timers as coarse ticks on a hashed wheel. Adding one and stopping one is constant work, and so is
+// finding when the next tick with a timer is due, so an idle program need not wake at every tick. It is not safe for
+// concurrent use.
 package wheel
 
 import (
@@ -10,20 +11,60 @@
 const (
 	slots = 1 << 12
 	words = slots / 64
+	spare = 1 << 12 // entries kept for the next timers: a busy program allocates none
 )
 
+// entry is a timer in a list: that of its slot, or that of the tick which is being run.
 type entry[T any] struct {
-	tick  int64
-	value T
+	tick       int64
+	value      T
+	in         *list[T] // nil: run or stopped
+	prev, next *entry[T]
+	uses       uint64 // of this entry, by one timer after another
+}
+
+// list is in the order of the calls of Add.
+type list[T any] struct{ first, last *entry[T] }
+
+func (l *list[T]) push(e *entry[T]) {
+	e.in, e.prev, e.next = l, l.last, nil
+	if l.last == nil {
+		l.first = e
+	} else {
+		l.last.next = e
+	}
+	l.last = e
+}
+
+func (l *list[T]) remove(e *entry[T]) {
+	if e.prev == nil {
+		l.first = e.next
+	} else {
+		e.prev.next = e.next
+	}
+	if e.next == nil {
+		l.last = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+	e.in, e.prev, e.next = nil, nil, nil
+}
+
+// Timer names a value on a wheel. The zero value names none.
+type Timer[T any] struct {
+	e    *entry[T]
+	uses uint64
 }
 
 // Wheel holds values until their time. Times are those of the caller's clock.
 type Wheel[T any] struct {
-	step  time.Duration
-	done  int64 // the last tick that was run
-	count int
-	slot  [slots][]entry[T]
-	used  [words]uint64
+	step    time.Duration
+	done    int64 // the last tick that was run
+	count   int
+	slot    [slots]list[T]
+	used    [words]uint64
+	running list[T] // what is due in the tick that is being run
+	free    []*entry[T]
 }
 
 // New returns a wheel of ticks of the given length that starts at a time.
@@ -36,12 +77,45 @@
 func (w *Wheel[T]) Len() int { return w.count }
 
 // Add keeps a value until the first tick at or after the time, and never for the tick that is being run.
-func (w *Wheel[T]) Add(at time.Duration, value T) {
-	tick := max(int64((at+w.step-1)/w.step), w.done+1)
-	i := tick & (slots - 1)
-	w.slot[i] = append(w.slot[i], entry[T]{tick, value})
+func (w *Wheel[T]) Add(at time.Duration, value T) Timer[T] {
+	var e *entry[T]
+	if n := len(w.free); n > 0 {
+		e, w.free = w.free[n-1], w.free[:n-1]
+	} else {
+		e = &entry[T]{}
+	}
+	e.tick, e.value = max(int64((at+w.step-1)/w.step), w.done+1), value
+	e.uses++
+	i := e.tick & (slots - 1)
+	w.slot[i].push(e)
 	w.used[i/64] |= 1 << (i % 64)
 	w.count++
+	return Timer[T]{e, e.uses}
+}
+
+// Stop takes a value off before its time, and lets go of it. False: it has run, or was stopped.
+func (w *Wheel[T]) Stop(t Timer[T]) bool {
+	if t.e == nil || t.e.uses != t.uses || t.e.in == nil {
+		return false
+	}
+	w.take(t.e)
+	return true
+}
+
+// take removes an entry and returns its value. The wheel keeps nothing of the value: it may hold much.
+func (w *Wheel[T]) take(e *entry[T]) T {
+	in, i := e.in, e.tick&(slots-1)
+	in.remove(e)
+	if in == &w.slot[i] && in.first == nil {
+		w.used[i/64] &^= 1 << (i % 64)
+	}
+	w.count--
+	value := e.value
+	var none T
+	if e.value = none; len(w.free) < spare {
+		w.free = append(w.free, e)
+	}
+	return value
 }
 
 // Next returns a time by which Advance should be called, at the latest one turn of the wheel from now.
@@ -60,15 +134,16 @@
 	return time.Duration(from+slots) * w.step, true
 }
 
-// Advance runs what has fallen due, in the order of ticks, and within one in the order of the calls of Add.
+// Advance runs what has fallen due, in the order of ticks, and within one in the order of the calls of Add. What is
+// stopped meanwhile does not run.
 func (w *Wheel[T]) Advance(now time.Duration, run func(T)) {
 	last := int64(now / w.step)
 	for w.done < last {
-		if at, any := w.Next(); !any || int64(at/w.step) > last {
+		at, any := w.Next()
+		if !any || int64(at/w.step) > last {
 			w.done = last
 			return
 		}
-		at, _ := w.Next()
 		w.done = int64(at / w.step)
 		w.turn(w.done, run)
 	}
@@ -76,20 +151,19 @@
 
 func (w *Wheel[T]) turn(tick int64, run func(T)) {
 	i := tick & (slots - 1)
-	all := w.slot[i]
-	w.slot[i] = nil
-	w.used[i/64] &^= 1 << (i % 64)
-	kept := all[:0:0]
-	for _, e := range all {
-		if e.tick > tick { // a later turn of the wheel
-			kept = append(kept, e)
-			continue
+	all := &w.slot[i]
+	for e := all.first; e != nil; {
+		next := e.next
+		if e.tick <= tick { // else it is for a later turn of the wheel
+			all.remove(e)
+			w.running.push(e)
 		}
-		w.count--
-		run(e.value)
+		e = next
+	}
+	if all.first == nil {
+		w.used[i/64] &^= 1 << (i % 64)
 	}
-	if len(kept) > 0 { // what run added to this slot comes after
-		w.slot[i] = append(kept, w.slot[i]...)
-		w.used[i/64] |= 1 << (i % 64)
+	for w.running.first != nil {
+		run(w.take(w.running.first))
 	}
 }
--- a/internal/wheel/wheel_test.go
+++ b/internal/wheel/wheel_test.go
@@ -7,33 +7,64 @@
 	"time"
 )
 
-// TestAgainstModel checks the wheel against a sorted list on random times, some more than a turn away.
+// TestAgainstModel checks the wheel against a list on random times, some more than a turn away, with timers stopped at
+// random, from within others of the same tick too, and handles of old timers used again.
 func TestAgainstModel(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	const step = 2 * time.Millisecond
 	now := 1_800_000_000 * time.Second
-	w := New[time.Duration](step, now)
-	var model []time.Duration
+	type item struct {
+		id int
+		at time.Duration
+	}
+	w := New[item](step, now)
+	var model []item
+	var handles []Timer[item] // of all that ever were, by id
+	stop := func() {
+		if len(handles) == 0 {
+			return
+		}
+		id := rng.IntN(len(handles))
+		i := slices.IndexFunc(model, func(m item) bool { return m.id == id })
+		if w.Stop(handles[id]) != (i >= 0) {
+			t.Fatalf("stop of %d, held: %v", id, i >= 0)
+		}
+		if i >= 0 {
+			model = slices.Delete(model, i, i+1)
+		}
+	}
 	for range 5000 {
 		for range rng.IntN(4) {
-			at := now + time.Duration(rng.Int64N(int64(20*time.Second)))
-			w.Add(at, at)
-			model = append(model, at)
+			it := item{len(handles), now + time.Duration(rng.Int64N(int64(20*time.Second)))}
+			if rng.IntN(4) == 0 { // many in few ticks
+				it.at = now + time.Duration(rng.Int64N(int64(100*time.Millisecond)))
+			}
+			handles, model = append(handles, w.Add(it.at, it)), append(model, it)
 		}
-		if at, any := w.Next(); any != (len(model) > 0) || any && at > slices.Min(model)+step {
-			t.Fatalf("next %v %v, the first of %d is %v", at, any, len(model), slices.Min(model))
+		for range rng.IntN(3) {
+			stop()
+		}
+		first := time.Duration(1 << 62)
+		for _, m := range model {
+			first = min(first, m.at)
+		}
+		if at, any := w.Next(); any != (len(model) > 0) || any && at > first+step {
+			t.Fatalf("next %v %v, the first of %d is %v", at, any, len(model), first)
 		}
 		now += time.Duration(rng.Int64N(int64(50 * time.Millisecond)))
-		w.Advance(now, func(at time.Duration) {
-			i := slices.Index(model, at)
-			if i < 0 || at > now {
-				t.Fatalf("%v ran at %v, known: %v", at, now, i >= 0)
+		w.Advance(now, func(it item) {
+			i := slices.Index(model, it)
+			if i < 0 || it.at > now {
+				t.Fatalf("%v ran at %v, known: %v", it, now, i >= 0)
 			}
 			model = slices.Delete(model, i, i+1)
+			if rng.IntN(4) == 0 {
+				stop()
+			}
 		})
-		for _, at := range model {
-			if at+step <= now {
-				t.Fatalf("%v has not run at %v", at, now)
+		for _, m := range model {
+			if m.at+step <= now {
+				t.Fatalf("%v has not run at %v", m, now)
 			}
 		}
 		if w.Len() != len(model) {
@@ -42,6 +73,18 @@
 	}
 }
 
+// TestStopLetsGo guards against a stopped or run timer that keeps what it held: at 9,000 messages a second that was more
+// than the program may use.
+func TestStopLetsGo(t *testing.T) {
+	w := New[*int](time.Millisecond, 0)
+	stopped, ran := w.Add(time.Second, new(int)), w.Add(2*time.Millisecond, new(int))
+	w.Stop(stopped)
+	w.Advance(2*time.Millisecond, func(*int) {})
+	if stopped.e.value != nil || ran.e.value != nil || w.Len() != 0 {
+		t.Error("the value is still held")
+	}
+}
+
 // TestAddWhileRunning guards against a timer that asks for itself at once and never lets Advance return.
 func TestAddWhileRunning(t *testing.T) {
 	w := New[int](2*time.Millisecond, 0)
