Add liftlab overhead: the daemon under full load beside a plain reverse proxy

The cost of the core was only known from a probe that nobody could repeat. Stand-in hosts and discovery speak by net/http, apart from the daemon's parser; liftlab starts the daemon and the proxy before the same hosts, one after another on one thread of Go code each, and prints rate, CPU a job, latency and the peak of resident size, as JSON last.

--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Member is an entry of discovery's list.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"` // SERVING, DRAINING; DELETED among changes only
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// Member is how discovery lists a host that serves.
+func (h *Host) Member() Member {
+	return Member{ID: h.Name, HostPort: h.Address, Locality: h.Zone, Flavor: h.Kind, Cell: h.Cell, Phase: "SERVING", Size: 1}
+}
+
+// List is what discovery says: all members, or those that changed.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Discovery keeps the list of hosts and tells of its changes.
+type Discovery struct {
+	Address string
+	server  *http.Server
+	mu      sync.Mutex
+	at      int64
+	members map[string]Member
+	changes []Member // each made one revision
+	changed chan struct{}
+}
+
+// StartDiscovery listens on loopback.
+func StartDiscovery() (*Discovery, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in discovery: %w", err)
+	}
+	d := &Discovery{Address: l.Addr().String(), members: map[string]Member{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", d.targets)
+	d.server = &http.Server{Handler: mux}
+	go d.server.Serve(l)
+	return d, nil
+}
+
+// Close ends it, and all watches.
+func (d *Discovery) Close() { d.server.Close() }
+
+// Set lists members as they are from now on; DELETED ones leave.
+func (d *Discovery) Set(members ...Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range members {
+		d.at++
+		d.changes = append(d.changes, m)
+		if d.members[m.ID] = m; m.Phase == "DELETED" {
+			delete(d.members, m.ID)
+		}
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// List is the whole list.
+func (d *Discovery) List() List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := List{Revision: d.at, Complete: true, Members: []Member{}}
+	for _, m := range d.members {
+		l.Members = append(l.Members, m)
+	}
+	return l
+}
+
+func (d *Discovery) targets(w http.ResponseWriter, r *http.Request) {
+	if r.FormValue("follow") != "1" {
+		json.NewEncoder(w).Encode(d.List())
+		return
+	}
+	since, _ := strconv.ParseInt(r.FormValue("since"), 10, 64)
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
+	first := true
+	for {
+		d.mu.Lock()
+		changed, at := d.changed, d.at
+		since = max(0, min(since, at))
+		news := append([]Member{}, d.changes[since:]...)
+		d.mu.Unlock()
+		if first || len(news) > 0 {
+			if json.NewEncoder(w).Encode(List{Revision: at, Members: news}) != nil {
+				return
+			}
+			since, first = at, false
+		}
+		http.NewResponseController(w).Flush()
+		select {
+		case <-changed:
+		case <-beat.C:
+			w.Write([]byte("\n"))
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/lab/overhead.go
@@ -0,0 +1,182 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"liftgauge/internal/standin"
+)
+
+// OverheadConfig is what liftlab overhead measures: the daemon beside a plain reverse proxy, before the same hosts.
+type OverheadConfig struct {
+	Daemon   string // the binary
+	Memory   []int  // limits to try, in MB
+	Bodies   []int  // bytes
+	Result   int    // bytes; -1 sends the body back
+	Hosts    int
+	Job      time.Duration
+	Clients  int
+	Sockets  int
+	Patience time.Duration
+	Warm     time.Duration
+	Length   time.Duration // of each measurement
+	Rounds   int
+	Stderr   io.Writer
+}
+
+// Measured is one measurement of one program.
+type Measured struct {
+	Program   string  `json:"program"`
+	MemoryMB  int     `json:"memory_mb,omitempty"`
+	Body      int     `json:"body_bytes"`
+	Rate      float64 `json:"jobs_per_s"`
+	CPUMicros float64 `json:"cpu_us_per_job"` // of served jobs and refused ones alike
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	PeakMB    float64 `json:"peak_resident_mb"`
+	IdleMB    float64 `json:"idle_resident_mb"`
+	Served    int64   `json:"served"`
+	Refused   int64   `json:"refused"`
+	Failed    int64   `json:"failed"`
+	Broken    int64   `json:"broken"`
+	Within    bool    `json:"within_memory"`
+}
+
+// OverheadReport is the last line of liftlab overhead.
+type OverheadReport struct {
+	Hosts    int        `json:"hosts"`
+	JobMs    float64    `json:"job_ms"`
+	Clients  int        `json:"clients"`
+	Result   int        `json:"result_bytes"`
+	Sockets  int        `json:"sockets"`
+	Seconds  float64    `json:"seconds_each"`
+	Runs     []Measured `json:"runs"`
+	AllUnder bool       `json:"all_within_memory"`
+}
+
+// Overhead runs the measurements one after another: in each round the proxy and then the daemon at each limit, so that
+// all of a round meet the same machine. Both programs have one thread of Go code.
+func Overhead(ctx context.Context, c OverheadConfig, say func(Measured)) (*OverheadReport, error) {
+	report := &OverheadReport{Hosts: c.Hosts, JobMs: float64(c.Job) / 1e6, Clients: c.Clients, Result: c.Result,
+		Sockets: c.Sockets, Seconds: c.Length.Seconds(), AllUnder: true}
+	for range c.Rounds {
+		for _, body := range c.Bodies {
+			for _, mb := range append([]int{0}, c.Memory...) {
+				m, err := c.measure(ctx, mb, body)
+				if err != nil {
+					return nil, err
+				}
+				report.Runs = append(report.Runs, m)
+				report.AllUnder = report.AllUnder && m.Within
+				say(m)
+			}
+		}
+	}
+	return report, nil
+}
+
+// measure is one run; without a limit of memory it is the proxy's.
+func (c OverheadConfig) measure(ctx context.Context, mb, body int) (m Measured, err error) {
+	m = Measured{Program: "liftgauge", MemoryMB: mb, Body: body}
+	result := func(b []byte) []byte { return b }
+	if c.Result >= 0 {
+		result = standin.Filled(c.Result)
+	}
+	world, err := StartWorld(WorldConfig{Hosts: c.Hosts, Slots: 64, Queue: 64, Job: c.Job, Result: result})
+	if err != nil {
+		return m, err
+	}
+	defer world.Close()
+	path := ""
+	var p *Process
+	if mb == 0 {
+		m.Program, path = "reverse-proxy", "/sync"
+		var hosts []string
+		for _, h := range world.Hosts {
+			hosts = append(hosts, h.Address)
+		}
+		self, err := os.Executable()
+		if err != nil {
+			return m, err
+		}
+		p, err = start(ctx, self, []string{"proxy", "--listen", world.Listen, "--hosts", strings.Join(hosts, ",")}, nil, 1, world.Listen, "", c.Stderr)
+		if err != nil {
+			return m, err
+		}
+	} else if p, err = world.Daemon(ctx, DaemonConfig{Binary: c.Daemon, MemoryMB: mb, Sockets: c.Sockets, Patience: c.Patience,
+		Procs: 1, Stderr: c.Stderr}); err != nil {
+		return m, err
+	}
+	defer p.Kill()
+	idle, err := p.Usage()
+	if err != nil {
+		return m, err
+	}
+	load := StartLoad(ctx, LoadConfig{Address: world.Listen, Path: path, Clients: c.Clients, Body: standin.Filled(body)(nil),
+		Patience: c.Patience, Seed: 1, Done: func(id string, _ int) { world.Ledger.Forget(id) }})
+	defer load.Stop()
+	wait := func(d time.Duration) error {
+		select {
+		case <-time.After(d):
+			return nil
+		case <-p.ended:
+			return fmt.Errorf("%s ended under load: %v", m.Program, p.err)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if err := wait(c.Warm); err != nil {
+		return m, err
+	}
+	load.Take()
+	before, err := p.Usage()
+	if err != nil {
+		return m, err
+	}
+	start := time.Now()
+	if err := wait(c.Length); err != nil {
+		return m, err
+	}
+	t, took := load.Take(), time.Since(start)
+	after, err := p.Usage()
+	if err != nil {
+		return m, err
+	}
+	round := func(x float64, unit float64) float64 { return math.Round(x/unit) * unit }
+	m.Rate = round(float64(t.Served)/took.Seconds(), 1)
+	m.CPUMicros = math.Round(float64((after.CPU-before.CPU).Microseconds())/float64(max(t.All(), 1))*10) / 10
+	m.P50, m.P99 = t.Millis(50), t.Millis(99)
+	m.PeakMB, m.IdleMB = math.Round(float64(after.Peak)/(1<<20)*10)/10, math.Round(float64(idle.Resident)/(1<<20)*10)/10
+	m.Served, m.Refused, m.Failed, m.Broken = t.Served, t.Refused, t.Failed, t.Broken
+	m.Within = mb == 0 || after.Peak <= int64(mb)<<20
+	return m, nil
+}
+
+// Proxy serves as a plain reverse proxy that goes round its hosts, to measure against, until the context ends.
+func Proxy(ctx context.Context, listen string, hosts []string) error {
+	var turn atomic.Uint64
+	var targets []*url.URL
+	for _, h := range hosts {
+		targets = append(targets, &url.URL{Scheme: "http", Host: h})
+	}
+	proxy := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(targets[turn.Add(1)%uint64(len(targets))]) },
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/-/ready", func(w http.ResponseWriter, _ *http.Request) {})
+	mux.Handle("/", proxy)
+	server := &http.Server{Addr: listen, Handler: mux}
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/world.go
@@ -0,0 +1,74 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"liftgauge/internal/standin"
+)
+
+// WorldConfig is a fleet of stand-ins.
+type WorldConfig struct {
+	Hosts  int
+	Slots  int
+	Queue  int
+	Job    time.Duration
+	Result func([]byte) []byte
+}
+
+// World is a fleet of stand-in hosts with discovery, for one dispatcher.
+type World struct {
+	Hosts     []*standin.Host
+	Discovery *standin.Discovery
+	Ledger    standin.Ledger
+	Listen    string // where the dispatcher is to listen
+	callbacks *http.Transport
+}
+
+// StartWorld starts hosts and discovery on loopback.
+func StartWorld(c WorldConfig) (*World, error) {
+	w := &World{callbacks: &http.Transport{MaxIdleConnsPerHost: 128, MaxConnsPerHost: 128}}
+	var err error
+	if w.Listen, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if w.Discovery, err = standin.StartDiscovery(); err != nil {
+		return nil, err
+	}
+	for i := range c.Hosts {
+		if _, err := w.Add(c, fmt.Sprintf("s-%08x", 0x5be20000+i), i); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// Add starts one more host and lists it.
+func (w *World) Add(c WorldConfig, name string, i int) (*standin.Host, error) {
+	h, err := standin.StartHost(standin.HostConfig{Name: name, Zone: Zones[0], Kind: Kinds[0], Cell: i / 4, Slots: c.Slots, Queue: c.Queue,
+		Job: c.Job, Result: c.Result, Starts: true, Ledger: &w.Ledger, Dispatcher: w.Listen, Callbacks: &http.Client{Transport: w.callbacks}})
+	if err != nil {
+		return nil, err
+	}
+	w.Hosts = append(w.Hosts, h)
+	w.Discovery.Set(h.Member())
+	return h, nil
+}
+
+// Close ends all stand-ins.
+func (w *World) Close() {
+	for _, h := range w.Hosts {
+		h.Close()
+	}
+	w.Discovery.Close()
+	w.callbacks.CloseIdleConnections()
+}
+
+// Daemon starts a dispatcher for this world.
+func (w *World) Daemon(ctx context.Context, c DaemonConfig) (*Process, error) {
+	c.Known = w.Discovery.List()
+	return StartDaemon(ctx, c, w.Listen, w.Discovery.Address)
+}
