Bound the bytes held by messages and call-backs; copy bodies no more than once

Nothing bounded what bodies, results and buffers held: 60 KB bodies took 377 MB under a limit of 192 MB, and each body was copied five times over.

internal/budget shares out the limit of memory. A message takes room for its head, body, attempt and for a result of the size that results have lately; without room it is read past and gets its back-off answer. Call-backs have an account of their own and wait their turn at it. Bodies are read into buffers that are used again once neither the owner nor a write under way has a share in them; heads and bodies are written in one call without a copy. Clients' connections are bounded by memory too.

--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
 	"liftgauge/internal/control"
 	"liftgauge/internal/handover"
@@ -59,13 +60,13 @@
 
 // room shares out so many descriptors. A client holds its connection for as long as its job runs, a host only until it has
 // taken the job.
-func room(c *config.Config, sockets int) (northConns, southConns int) {
+func room(c *config.Config, sockets int, memory int64) (northConns, southConns int) {
 	own := ownSockets + 2*askers(c) + 2 // and the socket and the link
 	if n := callers(c); n > 0 {
 		own += n + 2 // the listener, and one caller who is to be let in or turned away
 	}
 	southConns = max((sockets-own)/4, 1)
-	return max(sockets-own-southConns, 1), southConns
+	return min(max(sockets-own-southConns, 1), budget.Share(memory).Connections), southConns
 }
 
 // clock returns a monotonic clock that counts from the Unix epoch, so that times on the list compare with it. A step of
@@ -117,13 +118,15 @@
 		}
 	}
 	n, known := meet(ctx, c, known, log)
-	// The rest of the limit is for stacks, buffers of the kernel and the binary.
-	debug.SetMemoryLimit(c.Memory * 3 / 4)
+	shares := budget.Share(c.Memory)
+	debug.SetMemoryLimit(shares.Runtime)
+	bytes := budget.New(shares.Messages, shares.Calls)
 	state := n.store.State()
 	now := clock()
 	check := &invariant.Checker{Log: log}
+	bytes.Check = check
 	sink := &lateSink{}
-	northConns, southConns := room(c, c.Sockets)
+	northConns, southConns := room(c, c.Sockets, c.Memory)
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
@@ -137,8 +140,8 @@
 		other = n.peer
 	}
 	clients := north.New(north.Config{Desk: sink, Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
-		MaxConns: northConns, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
-	n.owner, n.clients, n.hosts, n.list = sink.Owner, clients, hosts, list
+		MaxConns: northConns, Budget: bytes, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
+	n.owner, n.clients, n.hosts, n.list, n.bytes = sink.Owner, clients, hosts, list, bytes
 	if n.peer != nil {
 		n.Share(n.peer.Live())
 	}
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 
+	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
 	"liftgauge/internal/handover"
 	"liftgauge/internal/inventory"
@@ -28,6 +29,7 @@
 	clients *north.Server
 	hosts   *south.Client
 	list    *inventory.Client
+	bytes   *budget.Budget
 	log     *slog.Logger
 	follows bool        // its list is that of a process before it
 	started atomic.Bool // it takes clients, and the process before knows
@@ -125,8 +127,10 @@
 	if on {
 		memory, sockets = memory/2, sockets/2
 	}
-	debug.SetMemoryLimit(memory * 3 / 4)
-	northConns, southConns := room(n.c, sockets)
+	shares := budget.Share(memory)
+	debug.SetMemoryLimit(shares.Runtime)
+	n.bytes.SetLimit(shares.Messages)
+	northConns, southConns := room(n.c, sockets, memory)
 	n.clients.SetLimit(northConns)
 	n.hosts.SetLimit(southConns)
 	if !on { // the other may have written last, without what only this one knows
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,218 @@
+// Package budget bounds the bytes that the program holds for others, so that no load makes it use more memory than it
+// may: one that does is killed, and loses all that it has taken.
+//
+// There are two accounts. Messages take from the first when they come in, and are turned away where it has no room. What
+// must get in however full that one is, the hosts' words on jobs that are held already, waits its turn at the second.
+//
+// All sizes are bytes.
+package budget
+
+import (
+	"context"
+	"math/bits"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/sync/semaphore"
+
+	"liftgauge/internal/invariant"
+)
+
+// What things cost beside the bytes that they carry: stacks, tables, buffers, timers.
+const (
+	Connection = 14 << 10 // a client's connection with its buffers and goroutines
+	Message    = 12 << 10 // a message with its head and an attempt under way
+	Call       = 2 << 10  // a call-back
+)
+
+// Shares are how a limit of memory is shared out.
+type Shares struct {
+	Runtime     int64 // the limit for the Go runtime; the rest is for the binary and the kernel's buffers
+	Connections int   // of clients, at most
+	Messages    int64 // what messages may hold
+	Calls       int64 // what call-backs under way may hold
+}
+
+// Share shares out a limit of memory. Three quarters are the runtime's. Of these some are in use at rest, and a third is
+// left to garbage: without that the collector would run without end.
+func Share(memory int64) Shares {
+	s := Shares{Runtime: memory * 3 / 4}
+	free := max(s.Runtime-atRest, s.Runtime/8)
+	s.Connections = int(max(free/4/Connection, 16))
+	s.Messages = max(free*3/10, 2*largest)
+	s.Calls = max(free/10, 8*largest)
+	return s
+}
+
+const (
+	atRest  = 6 << 20
+	largest = 64 << 10 // the largest body
+)
+
+// Budget is the two accounts. It is safe for concurrent use.
+type Budget struct {
+	Check *invariant.Checker // may be nil
+
+	limit, held, peak atomic.Int64
+	turned            atomic.Int64
+	calls             *semaphore.Weighted
+	mostCall          int64
+}
+
+// New returns a Budget with so much for messages and for call-backs.
+func New(messages, calls int64) *Budget {
+	b := &Budget{calls: semaphore.NewWeighted(calls), mostCall: calls}
+	b.limit.Store(messages)
+	return b
+}
+
+// SetLimit changes what messages may hold. What is held stays.
+func (b *Budget) SetLimit(messages int64) { b.limit.Store(messages) }
+
+// Held is what messages hold, Peak the most that they ever held, and Turned how many found no room.
+func (b *Budget) Held() int64   { return b.held.Load() }
+func (b *Budget) Peak() int64   { return b.peak.Load() }
+func (b *Budget) Turned() int64 { return b.turned.Load() }
+
+// take adds to what is held if there is room.
+func (b *Budget) take(n int64) bool {
+	for {
+		held := b.held.Load()
+		if held+n > b.limit.Load() {
+			b.turned.Add(1)
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+n) {
+			b.top(held + n)
+			return true
+		}
+	}
+}
+
+func (b *Budget) top(held int64) {
+	for {
+		peak := b.peak.Load()
+		if held <= peak || b.peak.CompareAndSwap(peak, held) {
+			return
+		}
+	}
+}
+
+// Call returns a Hold of a call-back with a body of so many bytes, which becomes a text of the parser's and a result, and
+// one share in it. It waits for room in the order of calls, until the context ends.
+func (b *Budget) Call(ctx context.Context, body int) (*Hold, error) {
+	n := min(Call+int64(Size(body)+2*body), b.mostCall)
+	if err := b.calls.Acquire(ctx, n); err != nil {
+		return nil, err
+	}
+	return newHold(b, n, body, true), nil
+}
+
+// Hold is what one message or call-back holds. Everybody who uses it or its buffer has a share in it; when the last lets go the bytes
+// are given back and the buffer may be another message's.
+type Hold struct {
+	b      *Budget
+	n      atomic.Int64
+	shares atomic.Int32
+	call   bool
+	buf    []byte
+}
+
+func newHold(b *Budget, n int64, body int, call bool) *Hold {
+	h := &Hold{b: b, call: call, buf: Get(body)}
+	h.n.Store(n)
+	h.shares.Store(1)
+	return h
+}
+
+// Take returns a Hold of a message with a body of so many bytes and something more, and one share in it. Nil: no room.
+func (b *Budget) Take(body int, more int64) *Hold {
+	n := Message + more + int64(Size(body))
+	if !b.take(n) {
+		return nil
+	}
+	return newHold(b, n, body, false)
+}
+
+// Buffer is room for the body.
+func (h *Hold) Buffer() []byte { return h.buf }
+
+// Share adds a share. The caller must have one, or know of one that cannot end meanwhile. A nil Hold has no shares.
+func (h *Hold) Share() {
+	if h != nil {
+		h.shares.Add(1)
+	}
+}
+
+// Grow makes a message's Hold hold more, whether there is room or not: what it is for is here already.
+func (h *Hold) Grow(n int64) {
+	if h != nil && n > 0 {
+		h.n.Add(n)
+		h.b.top(h.b.held.Add(n))
+	}
+}
+
+// Drop ends a share.
+func (h *Hold) Drop() {
+	if h == nil {
+		return
+	}
+	switch left := h.shares.Add(-1); {
+	case left < 0:
+		h.shares.Add(1)
+		h.b.Check.Check(false, "a share of held bytes was dropped twice")
+	case left == 0:
+		if h.call {
+			h.b.calls.Release(h.n.Load())
+		} else {
+			h.b.held.Add(-h.n.Load())
+		}
+		Put(h.buf)
+		h.buf = nil
+	}
+}
+
+// Buffers are kept by size, in powers of two; small ones are not worth it.
+const (
+	leastBits = 12
+	mostBits  = 16
+)
+
+// Shared by all: they hold nothing that anybody counts on.
+var pools [mostBits - leastBits + 1]sync.Pool
+
+// class is the index of the pool for buffers of a size, or -1.
+func class(n int) int {
+	if n <= 1<<(leastBits-1) || n > 1<<mostBits {
+		return -1
+	}
+	return max(bits.Len(uint(n-1)), leastBits) - leastBits
+}
+
+// Size is what a buffer of a length takes up.
+func Size(n int) int {
+	if c := class(n); c >= 0 {
+		return 1 << (c + leastBits)
+	}
+	return n
+}
+
+// Get returns a buffer of a length. Its bytes are whatever was there before.
+func Get(n int) []byte {
+	c := class(n)
+	if c < 0 {
+		return make([]byte, n)
+	}
+	if p, ok := pools[c].Get().(*[]byte); ok {
+		return (*p)[:n]
+	}
+	return make([]byte, n, 1<<(c+leastBits))
+}
+
+// Put takes back a buffer that nobody uses any more. Those that are not of Get are dropped.
+func Put(b []byte) {
+	if c := class(cap(b)); c >= 0 && cap(b) == 1<<(c+leastBits) {
+		b = b[:0]
+		pools[c].Put(&b)
+	}
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,137 @@
+package budget
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+)
+
+// TestAgainstModel takes, grows, shares and drops at random, and compares with sums kept beside.
+func TestAgainstModel(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	const limit = 1 << 20
+	b := New(limit, 1<<20)
+	type item struct {
+		h      *Hold
+		n      int64
+		shares int
+	}
+	var all []*item
+	var held int64
+	for step := range 20000 {
+		switch k := rng.IntN(6); {
+		case k < 2:
+			body, more := rng.IntN(64<<10+1), int64(rng.IntN(2000))
+			n := Message + more + int64(Size(body))
+			h := b.Take(body, more)
+			if (h != nil) != (held+n <= limit) {
+				t.Fatalf("step %d: taken %v with %d of %d held and %d wanted", step, h != nil, held, limit, n)
+			}
+			if h != nil {
+				if len(h.Buffer()) != body {
+					t.Fatalf("buffer of %d, want %d", len(h.Buffer()), body)
+				}
+				all, held = append(all, &item{h, n, 1}), held+n
+			}
+		case len(all) == 0:
+		case k == 2:
+			it, n := all[rng.IntN(len(all))], int64(rng.IntN(70000))
+			it.h.Grow(n)
+			it.n, held = it.n+n, held+n
+		case k == 3:
+			it := all[rng.IntN(len(all))]
+			it.h.Share()
+			it.shares++
+		default:
+			i := rng.IntN(len(all))
+			it := all[i]
+			it.h.Drop()
+			if it.shares--; it.shares == 0 {
+				held -= it.n
+				all[i] = all[len(all)-1]
+				all = all[:len(all)-1]
+			}
+		}
+		if b.Held() != held || b.Peak() < held {
+			t.Fatalf("step %d: held %d, want %d, peak %d", step, b.Held(), held, b.Peak())
+		}
+	}
+}
+
+// TestBuffersAreNotShared: a buffer that somebody still has a share in is nobody else's.
+func TestBuffersAreNotShared(t *testing.T) {
+	b := New(64<<20, 1<<20)
+	var all sync.WaitGroup
+	for g := range 8 {
+		all.Go(func() {
+			for i := range 500 {
+				h := b.Take(3000+i*100, 0)
+				for j := range h.Buffer() {
+					h.Buffer()[j] = byte(g)
+				}
+				h.Share()
+				h.Drop()
+				for _, x := range h.Buffer() {
+					if x != byte(g) {
+						t.Errorf("byte of %d in the buffer of %d", x, g)
+						return
+					}
+				}
+				h.Drop()
+			}
+		})
+	}
+	all.Wait()
+	if b.Held() != 0 {
+		t.Errorf("%d held at the end", b.Held())
+	}
+}
+
+// TestCallsWait: call-backs have room whatever messages hold, and wait for each other.
+func TestCallsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(0, 1000)
+		if b.Take(1, 0) != nil || b.Turned() != 1 {
+			t.Error("a message found room in an empty budget")
+		}
+		first, err := b.Call(t.Context(), 60000) // more than there is: it gets all
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := false
+		go func() {
+			next, err := b.Call(t.Context(), 10)
+			got = err == nil
+			next.Drop()
+		}()
+		synctest.Wait()
+		ctx, stop := context.WithCancel(t.Context())
+		stop()
+		if _, err := b.Call(ctx, 10); err == nil || got {
+			t.Errorf("error %v, got %v while all is taken", err, got)
+		}
+		first.Share() // one is the event's in the owner's queue
+		first.Drop()
+		synctest.Wait()
+		if got {
+			t.Error("room while the event is still in the queue")
+		}
+		first.Drop()
+		synctest.Wait()
+		if !got {
+			t.Error("the next in turn got no room")
+		}
+	})
+}
+
+func TestShare(t *testing.T) {
+	for _, mb := range []int64{16, 24, 64, 192} {
+		s := Share(mb << 20)
+		all := int64(s.Connections)*Connection + s.Messages + s.Calls
+		if s.Messages < Message+largest || s.Calls < 3*largest || all > s.Runtime*2/3 {
+			t.Errorf("%d MB: %+v, in all %d", mb, s, all)
+		}
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -10,6 +10,8 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"liftgauge/internal/budget"
 )
 
 // Bounds of what is read.
@@ -292,6 +294,59 @@
 	return len(b) > 0 && b[0] == '/'
 }
 
+// BodySize is how long a message's body is: what its head declares, or where that does not say the most there may be.
+func (h *Head) BodySize(most int) (int, error) {
+	if h.Length > int64(most) {
+		return 0, ErrTooLarge
+	}
+	if h.Length < 0 {
+		return most, nil
+	}
+	return int(h.Length), nil
+}
+
+// ReadBodyInto reads the whole body of a message into a buffer of at least BodySize bytes.
+func (r *Reader) ReadBodyInto(h *Head, buf []byte) ([]byte, error) {
+	if h.Length >= 0 {
+		body := buf[:h.Length]
+		if _, err := io.ReadFull(r, body); err != nil {
+			return nil, unexpected(err)
+		}
+		return body, nil
+	}
+	stream, n := r.Body(h), 0
+	for n < len(buf) {
+		m, err := stream.Read(buf[n:])
+		if n += m; err == io.EOF {
+			return buf[:n], nil
+		} else if err != nil {
+			return nil, err
+		}
+	}
+	if n, err := stream.Read(make([]byte, 1)); n > 0 {
+		return nil, ErrTooLarge
+	} else if err != io.EOF {
+		return nil, err
+	}
+	return buf, nil
+}
+
+// SkipBody reads the body of a message and keeps nothing of it.
+func (r *Reader) SkipBody(h *Head, most int) error {
+	if h.Length > int64(most) {
+		return ErrTooLarge
+	}
+	if h.Length >= 0 {
+		_, err := r.Discard(int(h.Length))
+		return unexpected(err)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body(h), int64(most)+1))
+	if err == nil && n > int64(most) {
+		return ErrTooLarge
+	}
+	return err
+}
+
 // ReadBody reads the whole body of a message, up to a bound. A declared length is not trusted for memory.
 func (r *Reader) ReadBody(h *Head, most int) ([]byte, error) {
 	if h.Length > int64(most) {
@@ -313,6 +368,13 @@
 	return body, nil
 }
 
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // Body returns a stream of a message's body.
 func (r *Reader) Body(h *Head) io.Reader {
 	switch {
@@ -401,24 +463,34 @@
 
 // AppendRequest writes a request with its body. Fields are written as they are.
 func AppendRequest(b []byte, method, target string, fields Fields, body []byte) []byte {
+	return append(AppendRequestHead(b, method, target, fields, len(body)), body...)
+}
+
+// AppendResponse writes an answer with its body.
+func AppendResponse(b []byte, status int, fields Fields, body []byte) []byte {
+	return append(AppendResponseHead(b, status, fields, len(body)), body...)
+}
+
+// AppendRequestHead writes all of a request but its body, which is to follow.
+func AppendRequestHead(b []byte, method, target string, fields Fields, body int) []byte {
 	b = append(b, method...)
 	b = append(b, ' ')
 	b = append(b, target...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	return finish(b, fields, body, len(body) > 0 || method == "POST")
+	return finishHead(b, fields, body, body > 0 || method == "POST")
 }
 
-// AppendResponse writes an answer with its body.
-func AppendResponse(b []byte, status int, fields Fields, body []byte) []byte {
+// AppendResponseHead writes all of an answer but its body, which is to follow.
+func AppendResponseHead(b []byte, status int, fields Fields, body int) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
 	b = append(b, StatusText(status)...)
 	b = append(b, "\r\n"...)
-	return finish(b, fields, body, status >= 200 && status != 204)
+	return finishHead(b, fields, body, status >= 200 && status != 204)
 }
 
-func finish(b []byte, fields Fields, body []byte, length bool) []byte {
+func finishHead(b []byte, fields Fields, body int, length bool) []byte {
 	for _, f := range fields {
 		b = append(b, f.Name...)
 		b = append(b, ": "...)
@@ -427,11 +499,10 @@
 	}
 	if length {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = strconv.AppendInt(b, int64(body), 10)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, body...)
+	return append(b, "\r\n"...)
 }
 
 // StatusText is the phrase of a status that the dispatcher uses.
@@ -473,4 +544,5 @@
 	Method, Target string
 	Fields         Fields
 	Body           []byte
+	Hold           *budget.Hold // what Body is in: who uses the call has a share in it; may be nil
 }
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -1,12 +1,14 @@
 package north
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"strconv"
 	"time"
 
+	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/owner"
 )
@@ -89,18 +91,24 @@
 				return
 			}
 		}
-		body, err := c.r.ReadBody(&head.Head, http1.MaxBody)
+		again, err := c.handle(head, full)
 		if err != nil {
 			c.reject(err)
 			return
 		}
-		c.SetReadDeadline(time.Time{})
-		if !c.handle(head, body, full) || !c.mark(true) {
+		if !again || !c.mark(true) {
 			return
 		}
 	}
 }
 
+// skip reads a body that nobody needs.
+func (c *conn) skip(head *http1.Request) error {
+	err := c.r.SkipBody(&head.Head, http1.MaxBody)
+	c.SetReadDeadline(time.Time{})
+	return err
+}
+
 // reject answers what cannot be read, where there is an answer; the connection ends.
 func (c *conn) reject(err error) {
 	var e *http1.Error
@@ -129,10 +137,13 @@
 
 func (c *conn) write(status int, fields http1.Fields, body []byte) bool {
 	c.SetWriteDeadline(time.Now().Add(writeLimit))
-	c.buf = http1.AppendResponse(c.buf[:0], status, fields, body)
-	_, err := c.Write(c.buf)
-	if cap(c.buf) > 16<<10 {
-		c.buf = nil
+	c.buf = http1.AppendResponseHead(c.buf[:0], status, fields, len(body))
+	var err error
+	if len(body) == 0 {
+		_, err = c.Write(c.buf)
+	} else { // the result is not copied
+		answer := net.Buffers{c.buf, body}
+		_, err = answer.WriteTo(c.Conn)
 	}
 	return err == nil
 }
@@ -147,48 +158,106 @@
 	io.CopyN(io.Discard, c.Conn, lingerMost)
 }
 
-// handle answers one request. False says that the connection ends.
-func (c *conn) handle(head *http1.Request, body []byte, full bool) bool {
+// handle reads the rest of a request and answers it. Again says that the connection goes on; an error is one of reading.
+//
+// Nothing of a body is kept for which the budget has no room: a message is read past and gets a back-off answer, and a
+// call-back is not read on until others are dealt with.
+func (c *conn) handle(head *http1.Request, full bool) (again bool, err error) {
+	size, err := head.BodySize(http1.MaxBody)
+	if err != nil {
+		return false, err
+	}
 	// An answer to HEAD would have no body, which no answer here knows of: such a connection ends.
 	last := head.Close || full || c.s.at() >= Closing || head.Method == "HEAD"
-	switch head.Path {
-	case "/-/ready":
-		if head.Method != "GET" {
-			return c.finish(405, last, http1.Fields{{Name: "Allow", Value: "GET"}}, nil)
+	if head.Path == "/-/ready" || head.Path == "/callback" {
+		want := "GET"
+		if head.Path == "/callback" {
+			want = "POST"
+		}
+		if head.Method == want && want == "POST" {
+			return c.callback(head, size, last)
 		}
-		if c.s.at() != Serving {
-			return c.finish(503, last, nil, nil)
+		if err := c.skip(head); err != nil {
+			return false, err
 		}
-		return c.finish(200, last, nil, nil)
-	case "/callback":
-		if head.Method != "POST" {
-			return c.finish(405, last, http1.Fields{{Name: "Allow", Value: "POST"}}, nil)
+		switch {
+		case head.Method != want:
+			return c.finish(405, last, http1.Fields{{Name: "Allow", Value: want}}, nil), nil
+		case c.s.at() != Serving:
+			return c.finish(503, last, nil, nil), nil
 		}
-		status, reason := c.s.callback(body)
-		return c.finish(status, last, nil, reason)
+		return c.finish(200, last, nil, nil), nil
 	}
-	m, err := c.s.message(head, body)
+	m, call, err := c.s.message(head)
 	var e *http1.Error
 	if errors.As(err, &e) {
+		if err := c.skip(head); err != nil {
+			return false, err
+		}
 		var fields http1.Fields
 		if e.Status == 405 {
 			fields = http1.Fields{{Name: "Allow", Value: "POST"}}
 		}
-		return c.finish(e.Status, last || e.Status == 400, fields, []byte(e.Reason+"\n"))
+		return c.finish(e.Status, last || e.Status == 400, fields, []byte(e.Reason+"\n")), nil
+	}
+	hold := c.s.Budget.Take(size, c.s.result.Load())
+	if hold == nil {
+		if err := c.skip(head); err != nil {
+			return false, err
+		}
+		c.s.taken.Add(1)
+		c.s.end(m.Job.Class, declined)
+		return c.finish(503, last, nil, nil), nil
 	}
-	return c.await(m, last, full)
+	defer hold.Drop()
+	body, err := c.r.ReadBodyInto(&head.Head, hold.Buffer())
+	if err != nil {
+		return false, err
+	}
+	c.SetReadDeadline(time.Time{})
+	call.Body, call.Hold = body, hold
+	c.s.arrive(m) // a request counts from its last byte
+	return c.await(m, hold, last, full), nil
+}
+
+// callback reads a host's call and deals with it.
+func (c *conn) callback(head *http1.Request, size int, last bool) (again bool, err error) {
+	within, stop := context.WithTimeout(c.s.run, readLimit)
+	hold, err := c.s.Budget.Call(within, size)
+	stop()
+	if err != nil { // the host says it again
+		if err := c.skip(head); err != nil {
+			return false, err
+		}
+		return c.finish(503, last, nil, nil), nil
+	}
+	defer hold.Drop()
+	c.SetReadDeadline(time.Now().Add(readLimit))
+	body, err := c.r.ReadBodyInto(&head.Head, hold.Buffer())
+	if err != nil {
+		return false, err
+	}
+	c.SetReadDeadline(time.Time{})
+	status, reason := c.s.callback(body, hold)
+	return c.finish(status, last, nil, reason), nil
 }
 
 // await hands in a message and answers it.
-func (c *conn) await(m *owner.Message, last, full bool) bool {
+func (c *conn) await(m *owner.Message, hold *budget.Hold, last, full bool) bool {
 	c.s.open.Add(1)
 	defer c.s.open.Add(-1)
 	c.s.taken.Add(1)
 	class := m.Job.Class
 	reply := make(chan owner.Answer, 1)
-	m.Reply = func(a owner.Answer) { reply <- a }
+	m.Reply = func(a owner.Answer) {
+		hold.Grow(c.s.resulted(len(a.Result)))
+		reply <- a
+	}
+	hold.Share()
+	m.Settled = hold.Drop
 	// What is turned away here has reached no host: trying again is harmless.
 	if full || c.s.at() >= Ending || !c.s.Desk.Submit(m) {
+		hold.Drop()
 		c.s.end(class, declined)
 		return c.finish(503, last, nil, nil)
 	}
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"liftgauge/balance"
+	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/jsonval"
 	"liftgauge/internal/owner"
@@ -15,20 +16,22 @@
 
 const maxID = 128
 
-// message makes a message of a client's request. What it refuses has not reached the module.
-func (s *Server) message(head *http1.Request, body []byte) (*owner.Message, error) {
+// message makes a message of the head of a client's request. What it refuses has not reached the module.
+func (s *Server) message(head *http1.Request) (*owner.Message, *http1.Call, error) {
 	first, _, _ := strings.Cut(head.Path[1:], "/")
 	class, ok := s.classes[first]
 	if !ok {
-		return nil, &http1.Error{Status: 404, Reason: "unknown path"}
+		return nil, nil, &http1.Error{Status: 404, Reason: "unknown path"}
 	}
 	if head.Method != "POST" {
-		return nil, &http1.Error{Status: 405, Reason: "jobs come by POST"}
+		return nil, nil, &http1.Error{Status: 405, Reason: "jobs come by POST"}
+	}
+	refuse := func(reason string) (*owner.Message, *http1.Call, error) {
+		return nil, nil, &http1.Error{Status: 400, Reason: reason}
 	}
-	refuse := func(reason string) (*owner.Message, error) { return nil, &http1.Error{Status: 400, Reason: reason} }
 	if kind, n := head.Fields.Get("Req-Kind"); n > 0 {
 		if named, ok := s.classes[kind]; !ok {
-			return nil, &http1.Error{Status: 404, Reason: "unknown class"}
+			return nil, nil, &http1.Error{Status: 404, Reason: "unknown class"}
 		} else if named != class || n > 1 {
 			return refuse("Req-Kind and path differ")
 		}
@@ -45,10 +48,6 @@
 		}
 		job.Left = min(time.Duration(ms)*time.Millisecond, time.Hour)
 	}
-	if s.Ending() { // the program may be killed soon after: what it has not answered by then would be lost
-		job.Left = min(job.Left, max(0, time.Duration(s.last.Load())-s.Now()))
-	}
-	job.Left = s.drain.left(s.Now(), job.Left)
 	if text, n := head.Fields.Get("Req-Cost"); n > 0 {
 		us, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(us >= 0 && us < 1e12) {
@@ -64,13 +63,33 @@
 			return refuse("bad Req-Extra")
 		}
 	}
-	call := &http1.Call{ID: id, Method: head.Method, Target: head.Target, Body: body}
+	call := &http1.Call{ID: id, Method: head.Method, Target: head.Target, Fields: make(http1.Fields, 0, len(head.Fields))}
 	for _, f := range head.Fields {
 		if passes(f.Name) {
 			call.Fields = append(call.Fields, f)
 		}
 	}
-	return &owner.Message{Key: id, Job: job, Arrived: s.Now(), Payload: call}, nil
+	return &owner.Message{Key: id, Job: job, Payload: call}, call, nil
+}
+
+// arrive notes that all of a message has come.
+func (s *Server) arrive(m *owner.Message) {
+	m.Arrived = s.Now()
+	if s.Ending() { // the program may be killed soon after: what it has not answered by then would be lost
+		m.Job.Left = min(m.Job.Left, max(0, time.Duration(s.last.Load())-m.Arrived))
+	}
+	m.Job.Left = s.drain.left(m.Arrived, m.Job.Left)
+}
+
+// resulted learns the size of results, of which every message sets room aside, and returns by how much one is over it.
+func (s *Server) resulted(n int) (over int64) {
+	for {
+		old := s.result.Load()
+		next := max(int64(n), old-old/64-1, 0)
+		if next == old || s.result.CompareAndSwap(old, next) {
+			return int64(n) - old
+		}
+	}
 }
 
 // validID: an id is passed on in a path, too.
@@ -117,9 +136,9 @@
 }
 
 // callback deals with a host's call. While another process serves at the same address the message may be that one's.
-func (s *Server) callback(body []byte) (status int, reason []byte) {
+func (s *Server) callback(body []byte, hold *budget.Hold) (status int, reason []byte) {
 	other := s.Other != nil && s.Other.Live()
-	status, known, reason := s.report(body, other)
+	status, known, reason := s.report(body, other, hold)
 	if status != 204 || known || !other {
 		return status, reason
 	}
@@ -136,13 +155,19 @@
 
 // Callback deals with a host's call that came to another process at the same address.
 func (s *Server) Callback(body []byte) (status int) {
-	status, _, _ = s.report(body, true)
+	status, _, _ = s.report(body, true, nil)
 	return status
 }
 
-// report hands a call-back to the owner. Where it waits, known says whether the message is open here.
-func (s *Server) report(body []byte, wait bool) (status int, known bool, reason []byte) {
-	report, err := parseReport(body)
+// report hands a call-back to the owner, who has a share in what it holds until the word is dealt with. Where it waits, known
+// says whether the message is open here.
+func (s *Server) report(body []byte, wait bool, hold *budget.Hold) (status int, known bool, reason []byte) {
+	parser, _ := s.parsers.Get().(*jsonval.Parser)
+	if parser == nil {
+		parser = &jsonval.Parser{}
+	}
+	report, err := parseReport(parser, body)
+	s.parsers.Put(parser)
 	if err != nil {
 		s.Log.Warn("malformed call-back", "err", err)
 		return 400, false, []byte(err.Error() + "\n")
@@ -153,7 +178,9 @@
 		told = make(chan bool, 1)
 		tell = func(known bool) { told <- known }
 	}
-	if !s.Desk.Reported(report, tell) {
+	hold.Share()
+	if !s.Desk.Reported(report, tell, hold.Drop) {
+		hold.Drop()
 		return 503, false, nil // the host says it again
 	}
 	if wait {
@@ -167,8 +194,7 @@
 }
 
 // parseReport reads a call-back.
-func parseReport(body []byte) (owner.Report, error) {
-	var p jsonval.Parser
+func parseReport(p *jsonval.Parser, body []byte) (owner.Report, error) {
 	o, err := p.Parse(body)
 	if err != nil {
 		return owner.Report{}, err
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"liftgauge/balance"
+	"liftgauge/internal/budget"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/sock"
@@ -33,7 +34,7 @@
 type Desk interface {
 	Submit(m *owner.Message) bool
 	Gone(m *owner.Message)
-	Reported(r owner.Report, known func(bool)) bool
+	Reported(r owner.Report, known func(bool), settled func()) bool
 }
 
 // Other is another process at the same address: a call-back may come to either.
@@ -50,6 +51,7 @@
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
+	Budget   *budget.Budget // of what messages and call-backs hold; nil for one of 48 MB and 16 MB
 	// LastAnswer is how long after the beginning of a planned end what is taken in it must be answered.
 	LastAnswer time.Duration
 	Now        func() time.Duration
@@ -83,12 +85,17 @@
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	ended   chan struct{}
+	run     context.Context // ends with Run
+	stop    context.CancelFunc
 
 	limit    atomic.Int64  // of connections; at most MaxConns
 	reserved int           // slots taken for what the limit leaves out; guarded by the lock
 	handed   chan struct{} // closed when the listener is left to another process
 	listener net.Listener  // guarded by the lock
 
+	parsers sync.Pool    // of call-backs
+	result  atomic.Int64 // the size that results have had lately, rather more
+
 	taken   atomic.Int64 // messages without an end
 	results [][ends]atomic.Int64
 	drain   drain
@@ -127,6 +134,10 @@
 // New returns a Server.
 func New(c Config) *Server {
 	s := &Server{Config: c, classes: map[string]int{}, conns: map[*conn]struct{}{}, ended: make(chan struct{})}
+	if s.Budget == nil {
+		s.Budget = budget.New(48<<20, 16<<20)
+	}
+	s.run, s.stop = context.WithCancel(context.Background())
 	s.slots = make(chan struct{}, c.MaxConns)
 	s.results = make([][ends]atomic.Int64, len(c.Classes))
 	s.handed = make(chan struct{})
@@ -177,6 +188,7 @@
 	defer context.AfterFunc(ctx, func() {
 		l.Close()
 		close(s.ended)
+		s.stop()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.conns {
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -15,6 +15,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
+	"liftgauge/internal/jsonval"
 	"liftgauge/internal/owner"
 )
 
@@ -87,12 +88,15 @@
 	w.gone++
 }
 
-func (w *world) Reported(r owner.Report, known func(bool)) bool {
+func (w *world) Reported(r owner.Report, known func(bool), settled func()) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.full {
 		return false
 	}
+	if settled != nil {
+		defer settled()
+	}
 	if known != nil {
 		known(!w.foreign)
 	}
@@ -575,7 +579,7 @@
 	f.Add([]byte(report))
 	f.Add([]byte(`{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"running","share":0.4}`))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		if r, err := parseReport(in); err == nil && (r.Key == "" || r.From == "") {
+		if r, err := parseReport(&jsonval.Parser{}, in); err == nil && (r.Key == "" || r.From == "") {
 			t.Errorf("report %+v", r)
 		}
 	})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,6 +41,9 @@
 	Arrived time.Duration // on the owner's clock
 	Payload any           // what the south side passes on
 	Reply   func(Answer)  // called once, from the owner's goroutine; must not block
+	// Settled, if it is set, is called once when the owner has let go of the message: it is answered, or its client has
+	// gone, and no attempt is out. It must not block. A message that Submit turned away was never the owner's.
+	Settled func()
 }
 
 // Host is a south side host as the inventory lists it.
@@ -397,9 +400,13 @@
 }
 
 // Reported takes a host's word. False says that the queue is full; the host will say it again. Else known, if it is
-// set, is told whether the message is open here; it must not block.
-func (o *Owner) Reported(r Report, known func(bool)) bool {
+// set, is told whether the message is open here, and settled, if it is set, once the word is dealt with; neither may
+// block.
+func (o *Owner) Reported(r Report, known func(bool), settled func()) bool {
 	return o.offer(func(now time.Duration) {
+		if settled != nil {
+			defer settled()
+		}
 		if known != nil {
 			known(o.keys[r.Key] != nil)
 		}
@@ -436,6 +443,9 @@
 	if o.keys[m.Key] != nil {
 		// The same id twice at once: the first may be running, so this one is neither run nor called harmless.
 		m.Reply(Answer{Kind: Failed})
+		if m.Settled != nil {
+			m.Settled()
+		}
 		return
 	}
 	o.counts.Messages++
@@ -480,6 +490,9 @@
 		for _, t := range p.timers {
 			o.wheel.Stop(t)
 		}
+		if p.Settled != nil {
+			p.Settled()
+		}
 	}
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -131,7 +131,7 @@
 }
 
 func (b *bench) report(s *sent, state State, result string) {
-	b.o.Reported(Report{Key: s.a.Message.Key, From: s.a.Host.Name, State: state, Result: []byte(result)}, nil)
+	b.o.Reported(Report{Key: s.a.Message.Key, From: s.a.Host.Name, State: state, Result: []byte(result)}, nil, nil)
 	synctest.Wait()
 }
 
@@ -153,7 +153,7 @@
 	within(t, func(t *testing.T, b *bench) {
 		m := b.submit(warning, 5*time.Second)
 		s := b.sends[0]
-		b.o.Reported(Report{Key: m.m.Key, From: "s-elsewhere", State: Done, Result: []byte("forged")}, nil)
+		b.o.Reported(Report{Key: m.m.Key, From: "s-elsewhere", State: Done, Result: []byte("forged")}, nil, nil)
 		b.report(s, Started, "") // before the host's answer to the send
 		b.report(s, Done, "level 3")
 		b.report(s, Done, "again")
@@ -319,7 +319,7 @@
 
 func TestQueueOverflow(t *testing.T) {
 	o := New(Config{Queue: 1})
-	if !o.Submit(&Message{}) || o.Submit(&Message{}) || o.Reported(Report{}, nil) {
+	if !o.Submit(&Message{}) || o.Submit(&Message{}) || o.Reported(Report{}, nil, nil) {
 		t.Error("want room for one event")
 	}
 }
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -90,7 +90,16 @@
 
 // Send carries out an attempt for as long as its context lasts.
 func (c *Client) Send(ctx context.Context, a *owner.Attempt) {
+	call, _ := a.Message.Payload.(*http1.Call)
+	if call != nil {
+		call.Hold.Share() // the owner, which calls this, has one until the attempt is over; a write may end later
+	}
 	c.spawn(func() {
+		defer func() {
+			if call != nil {
+				call.Hold.Drop()
+			}
+		}()
 		if status := c.send(ctx, a); status != 0 {
 			c.Sink.Ended(a, status)
 			return
@@ -136,7 +145,8 @@
 	left := max(1, (a.Deadline-c.Now())/time.Millisecond)
 	fields := append(http1.Fields{{Name: "Host", Value: a.Host.Address}}, call.Fields...)
 	fields = append(fields, http1.Field{Name: "Req-Deadline-Ms", Value: strconv.Itoa(int(left))})
-	request := http1.AppendRequest(nil, call.Method, call.Target, fields, call.Body)
+	head := http1.AppendRequestHead(make([]byte, 0, 512), call.Method, call.Target, fields, len(call.Body))
+	whole := len(head) + len(call.Body)
 	// Since the decision the host may have begun to drain, or the attempt may have been withdrawn: a send counts from
 	// its first byte.
 	if !a.Clear() {
@@ -151,11 +161,12 @@
 		}
 	})
 	defer stop()
-	if n, err := conn.Write(request); err != nil {
+	request := net.Buffers{head, call.Body} // one call of the kernel, and the body is not copied
+	if n, err := request.WriteTo(conn.Conn); err != nil {
 		c.pool.drop(conn)
 		c.broke(ctx, conn)
 		switch {
-		case n >= len(request):
+		case n >= int64(whole):
 			return balance.Reset
 		case ctx.Err() != nil:
 			return balance.Moot
@@ -202,7 +213,7 @@
 		if answer.Status < 200 {
 			continue
 		}
-		_, err = conn.r.ReadBody(&answer.Head, maxAnswer)
+		err = conn.r.SkipBody(&answer.Head, maxAnswer)
 		if err == nil && !answer.Close && conn.r.Buffered() == 0 && stop() {
 			c.pool.put(conn)
 		} else {
