Let the module know workers that pull and run some classes only

Gearman workers ask for each job, run one at a time and only some functions. The module knew one kind of worker a class at most, and one list of held jobs: eight that nobody runs would hold up all others.

A worker now says which classes it runs, how many jobs it takes side by side and whether it pulls; turns are by class, held jobs wait by lane, and a job may weigh more than its class. One that pulls needs no ramp: one job at a time is never more than it can do.

--- a/balance/api.go
+++ b/balance/api.go
@@ -44,6 +44,7 @@
 	Group     Group
 	Window    time.Duration // how long repeats of a keyed job are dropped
 	Kind      int           // the only kind of worker that runs it, or -1
+	Lane      int           // classes of one lane run on the same workers; those of others don't wait behind them
 	Streamed  bool
 }
 
@@ -111,6 +112,9 @@
 	State  State
 	Weight float64
 	Up     time.Duration // when it last started; 0 for long ago
+	Runs   []bool        // by class, whether it runs its jobs; nil where it runs all
+	Slots  float64       // jobs that it takes side by side, where the host knows; else 0
+	Pulls  bool          // it asks for each job when it is free, and runs one at a time
 }
 
 // ListKind tells how to take a list.
@@ -133,7 +137,8 @@
 	Hint   time.Duration // expected work, 0 if unknown
 	Slots  float64
 	Memory float64
-	Again  bool // the client's resubmission, where clients mark them
+	Weight float64 // its worth is so many times that of its class; 0 for once
+	Again  bool    // the client's resubmission, where clients mark them
 }
 
 // Status tells how an attempt or a probe ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -153,16 +153,16 @@
 	wholeFleet        // and all
 )
 
-// period returns the ready workers of a kind and their turns, in proportion to size and evenly spread.
-func (d *Dispatcher) period(kind, part int) *period {
-	p := d.periodOf(kind, part)
+// period returns the ready workers of a class and their turns, in proportion to size and evenly spread.
+func (d *Dispatcher) period(class, part int) *period {
+	p := d.periodOf(class, part)
 	if p.made == d.lists {
 		return p
 	}
 	p.made, p.members = d.lists, p.members[:0]
 	sum := 0.0
 	for _, w := range d.sorted {
-		if (kind < 0 || w.Kind == kind) && (part == wholeFleet || w.Zone == d.s.Zone) {
+		if d.can(w, class) && (part == wholeFleet || w.Zone == d.s.Zone) {
 			p.members = append(p.members, w)
 			sum += d.size(w)
 		}
@@ -207,8 +207,8 @@
 // as fewer jobs find room, as what is turned away counts too; but one job at a time may go there.
 func (d *Dispatcher) ramp(now time.Duration, w *worker, scheduled bool) bool {
 	c := d.warmth(now, w)
-	if c >= 1 || slices.Contains(d.back, w.ID) {
-		return true
+	if c >= 1 || slices.Contains(d.back, w.ID) || w.Pulls {
+		return true // one job at a time is never more than it can do
 	}
 	draw := d.draw(uint64(w.ID)<<32 ^ uint64(d.count))
 	if w.own == 0 && d.placed < 0.5 && draw < 4/float64(d.s.Dispatchers) {
@@ -220,7 +220,7 @@
 
 // spare estimates the free slots of a worker.
 func (d *Dispatcher) spare(now time.Duration, w *worker) float64 {
-	return cmp.Or(w.kind.slots, w.kind.room) - w.own - d.others(now, w)
+	return cmp.Or(w.Slots, w.kind.slots, w.kind.room) - w.own - d.others(now, w)
 }
 
 // others estimates the slots that other dispatchers' jobs take. What was seen is drawn back to the worker's
@@ -253,7 +253,8 @@
 		(w.Zone != a.w.Zone || r.c.Group == GroupCell && w.Cell != a.w.Cell) {
 		return false
 	}
-	if d.out(now, w) || !d.allowed(w) || !d.trusted(r, w) || !d.ramp(now, w, scheduled) {
+	if d.out(now, w) || !d.allowed(w) || !d.can(w, r.class) ||
+		!d.trusted(r, w) || !d.ramp(now, w, scheduled) {
 		return false
 	}
 	for _, a := range r.tries {
@@ -300,7 +301,7 @@
 
 // walk looks for room from the scheduled worker of a period on, where sure without those that are doubtful.
 func (d *Dispatcher) walk(now time.Duration, r *request, part, far int, want float64, sure bool) *worker {
-	p := d.period(r.c.Kind, part)
+	p := d.period(r.class, part)
 	n := len(p.turns)
 	if n == 0 {
 		return nil
@@ -362,7 +363,7 @@
 		r.aim -= d.first[r.class] - j.Left
 	}
 	r.aim = min(r.aim, r.end)
-	r.worth = r.c.Worth
+	r.worth = r.c.Worth * cmp.Or(j.Weight, 1)
 	if !d.s.WorthByWork {
 		r.worth /= d.unit[r.class]
 	}
@@ -402,10 +403,12 @@
 
 // drain sends what waits here and finds room. After a few that find none the rest would not either.
 func (d *Dispatcher) drain(now time.Duration) {
-	for i, misses := 0, 0; i < len(d.held) && misses < 8; {
-		if !d.place(now, d.held[i]) {
-			misses++
-			i++
+	for n := range d.lanes { // none goes first for ever where lanes share workers
+		lane := &d.lanes[(d.count+n)%len(d.lanes)]
+		for i, misses := 0, 0; i < len(*lane) && misses < 8; {
+			if !d.place(now, (*lane)[i]) {
+				misses, i = misses+1, i+1
+			}
 		}
 	}
 }
@@ -586,7 +589,7 @@
 func (d *Dispatcher) giveUp(r *request) {
 	if r.c.Effect == Safe || r.c.Effect == Keyed && r.trace() == nil {
 		// The more is held here the later; drawn, so that those sent away do not return together.
-		wait := seconds(d.mean * float64(1+len(d.held)) * (0.5 + d.rng.Float64()))
+		wait := seconds(d.mean * float64(1+d.held) * (0.5 + d.rng.Float64()))
 		d.do.Refuse(r.ID, min(d.s.MaxRetryAfter, wait))
 	} else {
 		d.do.Fail(r.ID)
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -88,10 +88,12 @@
 		return
 	}
 	r.held = true
-	at, _ := slices.BinarySearchFunc(d.held, r, func(a, b *request) int {
+	d.held++
+	lane := &d.lanes[r.c.Lane]
+	at, _ := slices.BinarySearchFunc(*lane, r, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(b.came, a.came), cmp.Compare(b.ID, a.ID))
 	})
-	d.held = slices.Insert(d.held, at, r)
+	*lane = slices.Insert(*lane, at, r)
 	d.ticks()
 }
 
--- /dev/null
+++ b/balance/pull_test.go
@@ -0,0 +1,75 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// pulls is a host that notes sends, for workers that pull and run some classes only.
+type pulls struct {
+	sends []WorkerID
+	jobs  []JobID
+	now   time.Duration
+}
+
+func (p *pulls) Send(j JobID, w WorkerID, _ time.Duration) {
+	p.sends, p.jobs = append(p.sends, w), append(p.jobs, j)
+}
+func (p *pulls) Refuse(JobID, time.Duration) {}
+func (p *pulls) Fail(JobID)                  {}
+func (p *pulls) Cancel(JobID, int)           {}
+func (p *pulls) Probe(WorkerID)              {}
+func (p *pulls) Watch()                      {}
+func (p *pulls) Log(string)                  {}
+func (p *pulls) Timer(time.Duration, uint64) {}
+
+func pullSettings() Settings {
+	class := Class{Aim: 200 * time.Millisecond, Worth: 1, LateWorth: 0.5, Limit: 5 * time.Second, Kind: -1}
+	other := class
+	other.Lane = 1
+	return Settings{Classes: []Class{class, other}, Dispatchers: 1, Tick: 2 * time.Millisecond, TellsStart: true, MaxAttempts: 4,
+		ConnectTimeout: 250 * time.Millisecond, FreeSlots: -1, FreeMemory: -1, Queue: -1, StartCapacity: 0.3, WarmWithin: 8 * time.Second,
+		OverloadFactor: 2.5, FallTime: 2 * time.Second}
+}
+
+// TestLanes: jobs that no worker runs hold up none of another lane, and no job goes to a worker that does not run its class.
+func TestLanes(t *testing.T) {
+	p := &pulls{now: time.Hour}
+	d := New(pullSettings(), 1, p)
+	d.Start(p.now)
+	d.List(p.now, ListFull, []Worker{{ID: 1, Weight: 1, Slots: 1, Pulls: true, Runs: []bool{false, true}}, {ID: 2, Weight: 1, Runs: []bool{false, false}}})
+	for id := range 40 { // far more than are looked at
+		d.Job(p.now, Job{ID: JobID(id + 1), Class: 0, Left: 5 * time.Second})
+	}
+	for id := range 3 {
+		d.Job(p.now, Job{ID: JobID(id + 100), Class: 1, Left: 5 * time.Second})
+	}
+	for n := range 3 {
+		if len(p.sends) != n+1 || p.sends[n] != 1 {
+			t.Fatalf("sends %v, want %d to worker 1", p.sends, n+1)
+		}
+		d.Outcome(p.now, Outcome{Job: p.jobs[n], Worker: 1, Status: OK, Took: time.Millisecond})
+	}
+	if len(p.sends) != 3 {
+		t.Errorf("sends %v", p.sends)
+	}
+}
+
+// TestColdPull: a worker that pulls and has just come gets a job at once, though it is cold, and never more than one.
+func TestColdPull(t *testing.T) {
+	p := &pulls{now: time.Hour}
+	d := New(pullSettings(), 1, p)
+	d.Start(p.now)
+	workers := []Worker{{ID: 1, Weight: 1, Slots: 1, Pulls: true, Up: p.now}}
+	for id := range 3 {
+		workers = append(workers, Worker{ID: WorkerID(id + 2), Weight: 1, Slots: 1, Pulls: true, Up: time.Minute})
+	}
+	d.List(p.now, ListFull, workers)
+	for id := range 50 {
+		d.Job(p.now, Job{ID: JobID(id + 1), Class: 0, Left: 5 * time.Second})
+	}
+	if slices.Sort(p.sends); !slices.Equal(p.sends, []WorkerID{1, 2, 3, 4}) {
+		t.Errorf("sends %v, want one to each", p.sends)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -80,8 +80,8 @@
 }
 
 type periodKey struct {
-	kind int // -1: any
-	part int // of the own zone, of all
+	class int
+	part  int // of the own zone, of all
 }
 
 // period is the order in which ready workers get their turns.
@@ -107,7 +107,8 @@
 	periods map[periodKey]*period
 	count   int                // jobs taken; kept when the list changes
 	jobs    map[JobID]*request // with attempts out, or open
-	held    []*request         // waiting here for room, in the order in which they go
+	lanes   [][]*request       // waiting here for room, by lane in the order in which they go
+	held    int                // in all lanes
 	free    []*request         // for reuse
 	served  []int              // by class: jobs learnt from
 	unit    []float64          // by class: typical running time, for each second of hint where hints come
@@ -140,7 +141,7 @@
 
 // ticks asks for the next tick while there is something to do at one.
 func (d *Dispatcher) ticks() {
-	if !d.ticking && len(d.sick)+len(d.held) > 0 {
+	if !d.ticking && len(d.sick)+d.held > 0 {
 		d.ticking = true
 		d.do.Timer(d.tick, tickToken)
 	}
@@ -176,8 +177,14 @@
 	}
 }
 
-func (d *Dispatcher) periodOf(kind, part int) *period {
-	key := periodKey{kind, part}
+// can: the worker runs jobs of the class.
+func (d *Dispatcher) can(w *worker, class int) bool {
+	kind := d.s.Classes[class].Kind
+	return (kind < 0 || w.Kind == kind) && (w.Runs == nil || class < len(w.Runs) && w.Runs[class])
+}
+
+func (d *Dispatcher) periodOf(class, part int) *period {
+	key := periodKey{class, part}
 	if d.periods[key] == nil {
 		d.periods[key] = &period{}
 	}
@@ -254,8 +261,10 @@
 func (d *Dispatcher) unhold(r *request) {
 	if r.held {
 		r.held = false
-		at := slices.Index(d.held, r)
-		d.held = slices.Delete(d.held, at, at+1)
+		lane := &d.lanes[r.c.Lane]
+		at := slices.Index(*lane, r)
+		*lane = slices.Delete(*lane, at, at+1)
+		d.held--
 	}
 }
 
@@ -311,6 +320,11 @@
 		jobs: map[JobID]*request{}, offline: map[WorkerID]time.Duration{}}
 	d.s.Tick = max(s.Tick, time.Millisecond)
 	d.assume()
+	for i := range d.s.Classes {
+		c := &d.s.Classes[i]
+		c.Lane = max(c.Lane, 0)
+		d.lanes = append(d.lanes, make([][]*request, max(0, c.Lane+1-len(d.lanes)))...)
+	}
 	d.served = make([]int, len(d.s.Classes))
 	d.first = make([]time.Duration, len(d.s.Classes))
 	d.gap, d.jobsOf = make([]float64, len(s.Tenants)), make([]int, len(s.Tenants))
