--- a/balance/pull_test.go
+++ b/balance/pull_test.go
@@ -67,7 +67,7 @@
 	}
 	d.List(p.now, ListFull, workers)
 	for id := range 50 {
-		d.Job(p.now, Job{ID: JobID(id + 1), Class: 0, Left: 5 * time.Second})
+		d.Job(p.now, Job{ID: JobID(id + 1), Class: 0, Left: 5 * time.Second, Hint: 100 * time.Millisecond})
 	}
 	if slices.Sort(p.sends); !slices.Equal(p.sends, []WorkerID{1, 2, 3, 4}) {
 		t.Errorf("sends %v, want one to each", p.sends)
