Read settings in CUE by a program of its own

Gearman is the first part that needs settings of our own. Mistakes are one line each: file, line, field, what was found and what is wanted.

--- /dev/null
+++ b/internal/settings/cuefile/cuefile.go
@@ -0,0 +1,84 @@
+// Package cuefile checks a settings file in CUE against the schema and turns it into JSON with all defaults filled in.
+//
+// The daemon does not link it: CUE alone makes an idle process 9 MB larger, and the daemon must do with 24 in all. The
+// program liftgauge-cue does, which the daemon runs for as long as it takes to read a file.
+package cuefile
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+	"cuelang.org/go/cue/token"
+)
+
+//go:embed schema.cue
+var schema string
+
+// Error is all that is wrong with a file, a line for each mistake: file:line: field: what is wrong.
+type Error []string
+
+func (e Error) Error() string { return strings.Join(e, "\n") }
+
+// Load reads a file. An Error tells of mistakes in it.
+func Load(path string) (json []byte, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Compile(path, text)
+}
+
+// Compile checks a text; name stands for it in errors.
+func Compile(name string, text []byte) (json []byte, err error) {
+	ctx := cuecontext.New()
+	rules := ctx.CompileString(schema, cue.Filename("schema.cue"))
+	if err := rules.Err(); err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	file := ctx.CompileBytes(text, cue.Filename(name))
+	if err := file.Err(); err != nil {
+		return nil, mistakes(name, err)
+	}
+	v := rules.LookupPath(cue.ParsePath("#Settings")).Unify(file)
+	if err := v.Validate(cue.Concrete(true), cue.Final()); err != nil {
+		return nil, mistakes(name, err)
+	}
+	return v.MarshalJSON()
+}
+
+// mistakes lists what is wrong, with the place in the file where there is one.
+func mistakes(name string, err error) Error {
+	var all Error
+	seen := map[string]bool{}
+	for _, e := range errors.Errors(err) {
+		at := token.NoPos
+		for _, p := range errors.Positions(e) {
+			if p.Filename() == name {
+				at = p
+				break
+			}
+		}
+		format, args := e.Msg()
+		field := strings.Join(e.Path(), ".")
+		field = strings.TrimPrefix(strings.TrimPrefix(field, "#Settings"), ".")
+		line := filepath.Base(name)
+		if at.IsValid() {
+			line += fmt.Sprint(":", at.Line())
+		}
+		if field != "" {
+			line += ": " + field
+		}
+		line += ": " + strings.ReplaceAll(fmt.Sprintf(format, args...), "\n", " ")
+		if !seen[line] {
+			seen[line] = true
+			all = append(all, line)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/settings/cuefile/schema.cue
@@ -0,0 +1,90 @@
+// The schema of deploy/liftgauge.cue. What is not set has the default that stands here with a *, or none.
+
+// A length of time, such as "250ms", "5s" or "1h30m".
+#Duration: =~"^([0-9]+(\\.[0-9]+)?(ms|s|m|h))+$"
+
+// A pattern of client ids: * is any text, ? any one character.
+#Pattern: string & !=""
+
+// host:port
+#Address: =~"^.+:[0-9]+$"
+
+#Pools: [string, ...string]
+
+#Settings: {
+	// Descriptors that the program may use where its configuration offers more than 1,024.
+	sockets?: int & >=32 & <=65536
+
+	gearman?: #Gearman
+}
+
+#Gearman: {
+	// Where Gearman clients connect, and workers too unless they have an address of their own.
+	listen:   #Address
+	workers?: #Address
+
+	// By function's name. Without any there is one for each class, of the same name.
+	functions: [=~"^[^ \\t\\r\\n\\x00]+$"]: #Function
+
+	// By class: which pools serve the jobs that come over HTTP, and by which function workers know them.
+	classes: [string]: {
+		pools:     #Pools | *["hosts"]
+		function?: string & !=""
+	}
+
+	// Pools of workers, by the client ids that workers give. The first that fits has the worker. The inventory's hosts are
+	// the pool "hosts"; workers that fit none are the pool "workers".
+	pools: [...{
+		name:    string & !="" & !="hosts"
+		clients: #Pattern
+	}]
+
+	// Which workers drop each other's repeats of a keyed job. A worker that fits none is a cell of its own.
+	cells: [...{
+		name:    string & !=""
+		clients: #Pattern
+	}]
+
+	limits: {
+		packet:             int & >=1024 & <=16777216 | *262144 // bytes of one packet's arguments and data
+		function:           int & >=1 & <=1024 | *128           // bytes of a function's name
+		unique:             int & >=1 & <=1024 | *128           // bytes of a unique id
+		client:             int & >=1 & <=1024 | *128           // bytes of a client id
+		jobsPerConnection:  int & >=1 | *1024                   // open jobs that one connection waits for
+		functionsPerWorker: int & >=1 | *64
+		openJobs:           int & >=1 | *10000     // in all, background jobs with them
+		buffer:             int & >=4096 | *524288 // bytes that wait for one connection to read
+		connections?:       int & >=2              // in all; without it half of the clients' share
+	}
+
+	timeouts: {
+		grab:      #Duration | *"1s"  // from NOOP to GRAB_JOB
+		packet:    #Duration | *"5s"  // from a packet's first byte to its last
+		write:     #Duration | *"5s"  // of a connection that reads nothing
+		ended:     #Duration | *"10m" // how long the end of a background job can be asked for
+		keepEnded: int & >=0 | *1000  // and of how many
+	}
+
+	// Whether the admin command shutdown ends the program.
+	shutdown: bool | *false
+}
+
+#Function: {
+	// The class whose rules hold for its jobs. Without it the class of the function's name.
+	class?: string & !=""
+
+	patience:   #Duration | *"5s" // of a client that waits; the class's own limit if that is shorter
+	background: #Duration | *"1h" // how long a background job may take until it has failed
+	window?:    #Duration         // in which a cell drops repeats, if not the class's own
+
+	pools: #Pools | *["workers", "hosts"]
+
+	// "packet" goes by the kind of SUBMIT_JOB; the others hold whatever the packet says.
+	priority: *"packet" | "high" | "normal" | "low"
+
+	// How much work a job is thought to be: the sum of those that are set. Without any it is not known.
+	cost?:       #Duration       // each
+	costPerKiB?: #Duration       // for each KiB of data
+	costField?:  string & !=""   // a number of microseconds in the data, which is a JSON object then
+	maxQueue:    int & >=0 | *0  // jobs that may wait; 0 for no bound of its own
+}
