--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -21,7 +21,8 @@
 // What things cost beside the bytes that they carry: stacks, tables, buffers, timers.
 const (
 	Connection = 14 << 10 // a client's connection with its buffers and goroutines
-	Message    = 12 << 10 // a message with its head and an attempt under way
+	Message    = 12 << 10 // a message with its head and an attempt under way, each with a goroutine
+	Job        = 3 << 9   // a job that needs none
 	Call       = 2 << 10  // a call-back
 )
 
@@ -33,13 +34,13 @@
 	Calls       int64 // what call-backs under way may hold
 }
 
-// Share shares out a limit of memory. Three quarters are the runtime's. Of these some are in use at rest, and a third is
+// Share shares out a limit of memory. Three quarters are the runtime's. Of these some are in use at rest, and a fifth is
 // left to garbage: without that the collector would run without end.
 func Share(memory int64) Shares {
 	s := Shares{Runtime: memory * 3 / 4}
 	free := max(s.Runtime-atRest, s.Runtime/8)
-	s.Connections = int(max(free/4/Connection, 16))
-	s.Messages = max(free*3/10, 2*largest)
+	s.Connections = int(max(free/5/Connection, 16))
+	s.Messages = max(free/2, 2*largest)
 	s.Calls = max(free/10, 8*largest)
 	return s
 }
@@ -125,9 +126,9 @@
 	return h
 }
 
-// Take returns a Hold of a message with a body of so many bytes and something more, and one share in it. Nil: no room.
-func (b *Budget) Take(body int, more int64) *Hold {
-	n := Message + more + int64(Size(body))
+// Take returns a Hold of a message that costs so much beside its body of so many bytes, and one share in it. Nil: no room.
+func (b *Budget) Take(body int, cost int64) *Hold {
+	n := cost + int64(Size(body))
 	if !b.take(n) {
 		return nil
 	}
@@ -144,9 +145,10 @@
 	}
 }
 
-// Grow makes a message's Hold hold more, whether there is room or not: what it is for is here already.
+// Grow makes a message's Hold hold more, whether there is room or not: what it is for is here already. Less than 0 gives
+// some of it back.
 func (h *Hold) Grow(n int64) {
-	if h != nil && n > 0 {
+	if h != nil && n != 0 {
 		h.n.Add(n)
 		h.b.top(h.b.held.Add(n))
 	}
--- /dev/null
+++ b/internal/gearman/state/jobs.go
@@ -0,0 +1,304 @@
+// Package state holds the two state machines of the Gearman side: the jobs that clients wait for, and what a worker's
+// connection may be told. Events go in with the time at which they happened, and what is to be done comes out; there is no
+// input or output here, no clock and no goroutine. Neither is safe for concurrent use.
+package state
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Conn names a connection.
+type Conn uint64
+
+// Job is one job of a Gearman client.
+type Job struct {
+	Handle, Function, Unique string
+	Background               bool
+	Priority                 int // 0 normal, 1 high, 2 low
+	Running                  bool
+	Num, Den                 string // of the last WORK_STATUS
+	Data                     any    // the caller's own
+
+	number  uint64
+	clients []Conn // an entry for each submission that waits; one connection may have several
+}
+
+// Clients are who waits for the job, one for each submission.
+func (j *Job) Clients() []Conn { return j.clients }
+
+// Ending is a background job that has ended.
+type Ending struct {
+	Handle, Function, Unique string
+	Served                   bool
+	Num, Den                 string
+	At                       time.Duration
+}
+
+// Bounds are how much is kept.
+type Bounds struct {
+	Open    int // jobs
+	PerConn int // submissions that one connection waits for
+	Ended   int // ends of background jobs
+	EndedOf time.Duration
+}
+
+// Why a job is not taken.
+var (
+	ErrOpen    = errors.New("too many open jobs")
+	ErrPerConn = errors.New("too many open jobs on this connection")
+	ErrQueue   = errors.New("too many jobs wait for this function")
+)
+
+// Count is how many jobs of a function there are.
+type Count struct {
+	Waiting [3]int // by priority
+	Running int
+}
+
+type key struct{ function, unique string }
+
+// Jobs are all open jobs, and the ends of background jobs for a while.
+type Jobs struct {
+	Bounds
+	byHandle map[string]*Job
+	byUnique map[key]*Job
+	counts   map[string]*Count
+	waits    map[Conn]int
+	last     uint64
+	ended    []Ending // the oldest first
+}
+
+// NewJobs returns an empty table.
+func NewJobs(b Bounds) *Jobs {
+	return &Jobs{Bounds: b, byHandle: map[string]*Job{}, byUnique: map[key]*Job{}, counts: map[string]*Count{}, waits: map[Conn]int{}}
+}
+
+// Len is how many jobs are open.
+func (s *Jobs) Len() int { return len(s.byHandle) }
+
+// Submit takes a job. Where one of the same function and unique id is open the client is attached to that one, fresh is
+// false and nothing else of the new one counts; a unique id of "" is like no other. A handle is asked for only if the job is
+// fresh. A background job has no client that waits.
+func (s *Jobs) Submit(c Conn, j Job, most int, handle func(number uint64) string) (job *Job, fresh bool, err error) {
+	if !j.Background && s.waits[c] >= s.PerConn {
+		return nil, false, ErrPerConn
+	}
+	if j.Unique != "" {
+		if old := s.byUnique[key{j.Function, j.Unique}]; old != nil {
+			if !j.Background {
+				old.clients = append(old.clients, c)
+				s.waits[c]++
+			}
+			return old, false, nil
+		}
+	}
+	count := s.count(j.Function)
+	switch {
+	case len(s.byHandle) >= s.Open:
+		return nil, false, ErrOpen
+	case most > 0 && count.Waiting[0]+count.Waiting[1]+count.Waiting[2] >= most:
+		return nil, false, ErrQueue
+	}
+	s.last++
+	job = &j
+	job.number, job.clients, job.Running, job.Num, job.Den = s.last, nil, false, "", ""
+	job.Handle = handle(s.last)
+	if !j.Background {
+		job.clients = append(job.clients, c)
+		s.waits[c]++
+	}
+	s.byHandle[job.Handle] = job
+	if job.Unique != "" {
+		s.byUnique[key{job.Function, job.Unique}] = job
+	}
+	count.Waiting[job.Priority%3]++
+	return job, true, nil
+}
+
+func (s *Jobs) count(function string) *Count {
+	c := s.counts[function]
+	if c == nil {
+		c = &Count{}
+		s.counts[function] = c
+	}
+	return c
+}
+
+// Count is how many jobs of a function there are.
+func (s *Jobs) Count(function string) Count {
+	if c := s.counts[function]; c != nil {
+		return *c
+	}
+	return Count{}
+}
+
+// Find returns an open job by its handle, or nil.
+func (s *Jobs) Find(handle string) *Job { return s.byHandle[handle] }
+
+// open says whether a job is still in the table.
+func (s *Jobs) open(j *Job) bool { return s.byHandle[j.Handle] == j }
+
+// Begin notes that a job runs, or runs no more though it has not ended: it may begin again.
+func (s *Jobs) Begin(j *Job, runs bool) {
+	if !s.open(j) || j.Running == runs {
+		return
+	}
+	d := 1
+	if !runs {
+		d = -1
+	}
+	j.Running = runs
+	c := s.count(j.Function)
+	c.Running += d
+	c.Waiting[j.Priority%3] -= d
+}
+
+// End takes a job out and returns who is to be told. False: it had ended.
+func (s *Jobs) End(now time.Duration, j *Job, served bool) (clients []Conn, ok bool) {
+	if !s.open(j) {
+		return nil, false
+	}
+	s.remove(j)
+	for _, c := range j.clients {
+		s.left(c)
+	}
+	clients, j.clients = j.clients, nil
+	if j.Background {
+		e := Ending{j.Handle, j.Function, j.Unique, served, j.Num, j.Den, now}
+		if served && e.Den == "" {
+			e.Num, e.Den = "1", "1"
+		}
+		s.ended = append(s.ended, e)
+		s.Expire(now)
+	}
+	return clients, true
+}
+
+func (s *Jobs) remove(j *Job) {
+	s.Begin(j, false)
+	c := s.count(j.Function)
+	if c.Waiting[j.Priority%3]--; *c == (Count{}) {
+		delete(s.counts, j.Function)
+	}
+	delete(s.byHandle, j.Handle)
+	if k := (key{j.Function, j.Unique}); s.byUnique[k] == j {
+		delete(s.byUnique, k)
+	}
+}
+
+func (s *Jobs) left(c Conn) {
+	if s.waits[c]--; s.waits[c] <= 0 {
+		delete(s.waits, c)
+	}
+}
+
+// Expire forgets ends that are old or too many.
+func (s *Jobs) Expire(now time.Duration) {
+	n := max(0, len(s.ended)-s.Ended)
+	for n < len(s.ended) && now-s.ended[n].At > s.EndedOf {
+		n++
+	}
+	if n > 0 {
+		s.ended = slices.Delete(s.ended, 0, n)
+	}
+}
+
+// Leave notes that a connection has ended. Jobs for which nobody waits any more are taken out and returned; background jobs
+// and those that others wait for go on.
+func (s *Jobs) Leave(c Conn) (abandoned []*Job) {
+	if s.waits[c] == 0 {
+		return nil
+	}
+	for _, j := range s.byHandle {
+		if !slices.Contains(j.clients, c) {
+			continue
+		}
+		j.clients = slices.DeleteFunc(j.clients, func(d Conn) bool { return d == c })
+		if len(j.clients) == 0 && !j.Background {
+			abandoned = append(abandoned, j)
+		}
+	}
+	delete(s.waits, c)
+	slices.SortFunc(abandoned, byNumber)
+	for _, j := range abandoned {
+		s.remove(j)
+	}
+	return abandoned
+}
+
+// Status is what can be said of a job.
+type Status struct {
+	Known, Running bool
+	Num, Den       string
+	Clients        int
+}
+
+// Status tells of a job by its handle, open or ended.
+func (s *Jobs) Status(now time.Duration, handle string) Status {
+	if j := s.byHandle[handle]; j != nil {
+		return status(j)
+	}
+	s.Expire(now)
+	return s.endOf(func(e *Ending) bool { return e.Handle == handle })
+}
+
+// StatusUnique tells of a job by its unique id, which is that of one function's as a rule; the newest if there are more.
+func (s *Jobs) StatusUnique(now time.Duration, unique string) Status {
+	var found *Job
+	for k, j := range s.byUnique {
+		if k.unique == unique && (found == nil || found.number < j.number) {
+			found = j
+		}
+	}
+	if found != nil {
+		return status(found)
+	}
+	s.Expire(now)
+	return s.endOf(func(e *Ending) bool { return unique != "" && e.Unique == unique })
+}
+
+func status(j *Job) Status {
+	return Status{Known: true, Running: j.Running, Num: orZero(j.Num), Den: orZero(j.Den), Clients: len(j.clients)}
+}
+
+func (s *Jobs) endOf(is func(*Ending) bool) Status {
+	for i := len(s.ended) - 1; i >= 0; i-- {
+		if e := &s.ended[i]; is(e) {
+			return Status{Known: true, Num: orZero(e.Num), Den: orZero(e.Den)}
+		}
+	}
+	return Status{Num: "0", Den: "0"}
+}
+
+func orZero(s string) string {
+	if s == "" {
+		return "0"
+	}
+	return s
+}
+
+// Progress notes a WORK_STATUS. What is no number counts as 0.
+func (s *Jobs) Progress(j *Job, num, den string) {
+	number := func(t string) string {
+		if _, err := strconv.ParseFloat(t, 64); err != nil {
+			return "0"
+		}
+		return t
+	}
+	j.Num, j.Den = number(num), number(den)
+}
+
+// All are the open jobs, the oldest first.
+func (s *Jobs) All() []*Job {
+	all := make([]*Job, 0, len(s.byHandle))
+	for _, j := range s.byHandle {
+		all = append(all, j)
+	}
+	slices.SortFunc(all, byNumber)
+	return all
+}
+
+func byNumber(a, b *Job) int { return int(int64(a.number) - int64(b.number)) }
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -200,7 +200,7 @@
 		}
 		return c.finish(e.Status, last || e.Status == 400, fields, []byte(e.Reason+"\n")), nil
 	}
-	hold := c.s.Budget.Take(size, c.s.result.Load())
+	hold := c.s.Budget.Take(size, budget.Message+c.s.result.Load())
 	if hold == nil {
 		if err := c.skip(head); err != nil {
 			return false, err
@@ -216,6 +216,9 @@
 	}
 	c.SetReadDeadline(time.Time{})
 	call.Body, call.Hold = body, hold
+	if c.s.Wrap != nil {
+		m.Payload = c.s.Wrap(m.Job.Class, call)
+	}
 	c.s.arrive(m) // a request counts from its last byte
 	return c.await(m, hold, last, full), nil
 }
@@ -265,6 +268,10 @@
 	for {
 		select {
 		case a := <-reply:
+			if len(a.Result) > http1.MaxBody { // of a worker that speaks something else: no answer here may be so long
+				c.s.Log.Warn("result too long for HTTP", "message", m.Key, "bytes", len(a.Result))
+				a = owner.Answer{Kind: owner.Failed}
+			}
 			c.s.end(class, [...]int{owner.Failed: aborted, owner.Served: succeeded, owner.BackOff: declined}[a.Kind])
 			return c.give(a, last || c.s.at() >= Closing)
 		case <-c.s.ended: // the program ends without waiting for answers
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -15,6 +15,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/budget"
+	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/sock"
@@ -51,7 +52,9 @@
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
-	Budget   *budget.Budget // of what messages and call-backs hold; nil for one of 48 MB and 16 MB
+	// Wrap makes the payload that other sides understand; nil where there are only hosts that speak HTTP.
+	Wrap   func(class int, call *http1.Call) any
+	Budget *budget.Budget // of what messages and call-backs hold; nil for one of 48 MB and 16 MB
 	// LastAnswer is how long after the beginning of a planned end what is taken in it must be answered.
 	LastAnswer time.Duration
 	Now        func() time.Duration
--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -40,7 +40,7 @@
 	}
 	o.Log.Debug("attempt", "message", p.Key, "host", a.Host.Name, "kind", a.Host.Worker.Kind, "zone", a.Host.Worker.Zone, "cell", a.Host.Worker.Cell,
 		"waited", a.sent-p.Arrived)
-	o.South.Send(ctx, a)
+	o.south(a.Host).Send(ctx, a)
 }
 
 // busy: one host gets one attempt of a message at a time.
@@ -82,7 +82,7 @@
 // Probe asks a host for its health.
 func (c actions) Probe(worker balance.WorkerID) {
 	if h := c.o.hosts[worker]; c.o.Check.Check(h != nil, "probe of an unknown host", "worker", worker) {
-		c.o.South.Probe(h.Host)
+		c.o.south(h.Host).Probe(h.Host)
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,16 +41,31 @@
 	Arrived time.Duration // on the owner's clock
 	Payload any           // what the south side passes on
 	Reply   func(Answer)  // called once, from the owner's goroutine; must not block
+	// Event, if it is set, is told what becomes of the attempt that is out before there is an answer: Begun, Share, or
+	// what a side passed on by Owner.Passed. It is called from the owner's goroutine and must not block.
+	Event func(any)
 	// Settled, if it is set, is called once when the owner has let go of the message: it is answered, or its client has
 	// gone, and no attempt is out. It must not block. A message that Submit turned away was never the owner's.
 	Settled func()
 }
 
-// Host is a south side host as the inventory lists it.
+// Begun is an event of a message: it runs.
+type Begun struct{}
+
+// Waits is an event of a message: it runs no more and has no answer yet.
+type Waits struct{}
+
+// Share is an event of a message: so much of it is done.
+type Share float64
+
+// Host is a south side host as the inventory lists it, or one that has come by itself.
 type Host struct {
 	Name    string // its id in the inventory
 	Address string
 	Worker  balance.Worker // without an id, which the owner derives from the name
+	// Via is the side that carries attempts to it; nil for Config.South. Only hosts without one are the inventory's: its
+	// lists say nothing of others, and these are forgotten when they have gone.
+	Via South
 }
 
 // Attempt is one send of a message to a host. The south side reports how it ended.
@@ -115,6 +130,9 @@
 	Log       *slog.Logger
 	Check     *invariant.Checker
 
+	// HostRuns says which classes an inventory's host of a kind runs, as balance.Worker.Runs has it; nil: all.
+	HostRuns func(kind int) []bool
+
 	Follows bool                // Known is fresh: a process that this one takes over from had it
 	Ever    []string            // names that were listed before, in earlier processes too
 	Offline []string            // of these, hosts that operators have left out
@@ -297,10 +315,12 @@
 }
 
 // post queues an event that must not be lost. It waits for room; the owner never waits for those who post.
-func (o *Owner) post(e event) {
+func (o *Owner) post(e event) (done bool) {
 	select {
 	case o.queue <- e:
+		return true
 	case <-o.stopped:
+		return false
 	}
 }
 
@@ -372,7 +392,7 @@
 		o.hosts[id] = h
 	}
 	if h.offline.Swap(out) != out {
-		o.South.Forget(h.Host) // a process started anew must not be taken for the one before
+		o.south(h.Host).Forget(h.Host) // a process started anew must not be taken for the one before
 	}
 	o.module.Offline(now, id, out)
 	o.show(now)
@@ -414,6 +434,69 @@
 	})
 }
 
+// Assigned says that an attempt was written whole and runs, for sides that know both at once.
+func (o *Owner) Assigned(a *Attempt) {
+	o.forwards.Add(1)
+	o.post(func(now time.Duration) {
+		if a.over {
+			return
+		}
+		o.module.Written(now, a.open.id, a.number, false)
+		o.module.Started(now, a.open.id, a.number)
+		o.event(a, Begun{})
+	})
+}
+
+// Passed hands on what an attempt brings forth before its end, to the message's Event. Settled, if it is set, is called
+// once that is done. Where there is no Event, or the attempt is over, it is dropped.
+func (o *Owner) Passed(a *Attempt, what any, settled func()) {
+	if !o.post(func(time.Duration) {
+		if settled != nil {
+			defer settled()
+		}
+		o.event(a, what)
+	}) && settled != nil {
+		settled()
+	}
+}
+
+// Served says that an attempt ended with a result. Settled is as in Passed.
+func (o *Owner) Served(a *Attempt, result []byte, settled func()) {
+	if !o.post(func(now time.Duration) {
+		if settled != nil {
+			defer settled()
+		}
+		o.ended(now, a, balance.OK, result)
+	}) && settled != nil {
+		settled()
+	}
+}
+
+// After calls a function once all that was reported before is dealt with, and what the module decided upon it done. It
+// must not block.
+func (o *Owner) After(f func()) { o.post(func(time.Duration) { f() }) }
+
+// Reroute says that Config.HostRuns says something else from now on.
+func (o *Owner) Reroute(hostRuns func(kind int) []bool) {
+	o.post(func(now time.Duration) {
+		o.HostRuns = hostRuns
+		var all []Host
+		for _, h := range o.hosts {
+			if h.listed && h.Via == nil {
+				all = append(all, h.Host)
+			}
+		}
+		o.list(now, balance.ListChanges, all)
+	})
+}
+
+// event tells a message of what becomes of an attempt.
+func (o *Owner) event(a *Attempt, what any) {
+	if p := a.open; !a.over && !p.answered && p.Event != nil {
+		p.Event(what)
+	}
+}
+
 // Written says that the last byte of an attempt is on its way, on a fresh connection or on one that had been used.
 func (o *Owner) Written(a *Attempt, fresh bool) {
 	o.forwards.Add(1)
@@ -541,7 +624,7 @@
 	var a *Attempt
 	if p != nil {
 		for _, b := range p.attempts {
-			if !b.over && b.Host.Name == r.From {
+			if !b.over && b.Host.Name == r.From && b.Host.Via == nil { // others report by their own side
 				a = b
 			}
 		}
@@ -555,8 +638,10 @@
 	case Started:
 		o.Log.Debug("attempt started", "message", p.Key, "host", a.Host.Name, "took", now-a.sent)
 		o.module.Started(now, p.id, a.number)
+		o.event(a, Begun{})
 	case Progress:
 		o.module.Progress(now, p.id, a.number, r.Share)
+		o.event(a, Share(r.Share))
 	case Done:
 		o.ended(now, a, balance.OK, r.Result)
 	case Broken:
@@ -597,6 +682,9 @@
 	}
 	o.module.Outcome(now, balance.Outcome{Job: p.id, Attempt: a.number, Worker: a.Host.Worker.ID, Status: status,
 		Took: now - a.sent, Closed: p.answered})
+	if !p.answered && p.out == 0 && p.Event != nil {
+		p.Event(Waits{})
+	}
 	o.settle(p)
 }
 
@@ -607,10 +695,14 @@
 	for _, h := range hosts {
 		if !o.ever[h.Name] {
 			o.ever[h.Name] = true
-			unheard = append(unheard, h.Name)
+			if h.Via == nil {
+				unheard = append(unheard, h.Name)
+			}
 		}
 		w := h.Worker
-		w.ID = o.ids.id(h.Name)
+		if w.ID = o.ids.id(h.Name); h.Via == nil && o.HostRuns != nil {
+			w.Runs = o.HostRuns(w.Kind)
+		}
 		h.Worker = w
 		listed[w.ID] = true
 		entries = append(entries, w)
@@ -619,7 +711,7 @@
 			old = &host{}
 			o.hosts[w.ID] = old
 		} else if old.Worker.Up != w.Up || old.Address != h.Address || w.State == balance.Gone {
-			o.South.Forget(old.Host)
+			o.south(old.Host).Forget(old.Host)
 		}
 		if w.State == balance.Gone { // a change may carry the id alone
 			h.Address = old.Address
@@ -630,6 +722,12 @@
 	}
 	if kind == balance.ListFull || kind == balance.ListCached {
 		for id, h := range o.hosts {
+			if h.Via != nil { // the inventory's lists say nothing of it, and to the module this one is all there is
+				if h.listed && !listed[id] {
+					entries = append(entries, h.Worker)
+				}
+				continue
+			}
 			h.listed = h.listed && listed[id]
 			if !listed[id] && !h.shut.Load() && !o.Settings.GoneIsAdvice {
 				h.shut.Store(true)
@@ -641,5 +739,29 @@
 		o.Listed(unheard)
 	}
 	o.module.List(now, kind, entries)
+	for _, h := range hosts {
+		if h.Via != nil && h.Worker.State == balance.Gone {
+			o.forget(h.Name)
+		}
+	}
 	o.show(now)
 }
+
+// forget drops all that is known of a host that came by itself and has gone: there may be any number of names. An
+// operator's word stays.
+func (o *Owner) forget(name string) {
+	id := o.ids.id(name)
+	if h := o.hosts[id]; h != nil && !h.offline.Load() {
+		delete(o.hosts, id)
+		delete(o.ever, name)
+		delete(o.ids, id)
+	}
+}
+
+// south is the side that carries attempts to a host.
+func (o *Owner) south(h Host) South {
+	if h.Via != nil {
+		return h.Via
+	}
+	return o.South
+}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -90,7 +90,7 @@
 
 // Send carries out an attempt for as long as its context lasts.
 func (c *Client) Send(ctx context.Context, a *owner.Attempt) {
-	call, _ := a.Message.Payload.(*http1.Call)
+	call := callOf(a.Message)
 	if call != nil {
 		call.Hold.Share() // the owner, which calls this, has one until the attempt is over; a write may end later
 	}
@@ -112,6 +112,20 @@
 	})
 }
 
+// Caller is a payload that can be passed on as a call, whatever its client spoke.
+type Caller interface{ HTTP() *http1.Call }
+
+// callOf is a message as it is passed on, or nil.
+func callOf(m *owner.Message) *http1.Call {
+	switch p := m.Payload.(type) {
+	case *http1.Call:
+		return p
+	case Caller:
+		return p.HTTP()
+	}
+	return nil
+}
+
 // Probe asks for a host's health.
 func (c *Client) Probe(h owner.Host) {
 	c.spawn(func() { c.Sink.Probed(h, c.probe(h)) })
@@ -128,8 +142,8 @@
 // What proves that it never ran: the connection did not come up, or failed before the last byte was written. A write
 // that took all bytes may have reached the host, even on a connection that turns out to be broken.
 func (c *Client) send(ctx context.Context, a *owner.Attempt) balance.Status {
-	call, ok := a.Message.Payload.(*http1.Call)
-	if !ok {
+	call := callOf(a.Message)
+	if call == nil {
 		return balance.Moot
 	}
 	conn, err := c.pool.get(ctx, a.Host)
@@ -237,7 +251,7 @@
 
 // giveUp tells a host that nobody waits for a job any more.
 func (c *Client) giveUp(a *owner.Attempt) {
-	call := a.Message.Payload.(*http1.Call)
+	call := callOf(a.Message)
 	if _, status := c.ask(a.Host, "DELETE", "/jobs/"+call.ID, giveUpWithin); status != balance.OK {
 		c.Log.Debug("withdrawal not heard", "message", call.ID, "host", a.Host.Name, "status", status)
 	}
