--- a/balance/balance.go
+++ b/balance/balance.go
@@ -220,7 +220,8 @@
 
 // spare estimates the free slots of a worker.
 func (d *Dispatcher) spare(now time.Duration, w *worker) float64 {
-	return cmp.Or(w.Slots, w.kind.slots, w.kind.room) - w.own - d.others(now, w)
+	left := cmp.Or(w.Slots, w.kind.slots, w.kind.room) - w.own - d.others(now, w)
+	return left * (1 + 4*w.Slots) // known slots are no guess: no surer sign is wanted
 }
 
 // others estimates the slots that other dispatchers' jobs take. What was seen is drawn back to the worker's
@@ -248,13 +249,12 @@
 }
 
 // usable: a worker that the list and this dispatcher's own experience allow for this attempt.
-func (d *Dispatcher) usable(now time.Duration, r *request, w *worker, scheduled bool) bool {
+func (d *Dispatcher) usable(now time.Duration, r *request, w *worker, turn bool) bool {
 	if a := r.trace(); a != nil && r.c.Effect == Keyed && r.c.Group != GroupAll &&
 		(w.Zone != a.w.Zone || r.c.Group == GroupCell && w.Cell != a.w.Cell) {
 		return false
 	}
-	if d.out(now, w) || !d.allowed(w) || !d.can(w, r.class) ||
-		!d.trusted(r, w) || !d.ramp(now, w, scheduled) {
+	if d.out(now, w) || !d.allowed(w) || !d.can(w, r.class) || !d.trusted(r, w) || !d.ramp(now, w, turn) {
 		return false
 	}
 	for _, a := range r.tries {
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -49,7 +49,7 @@
 func (d *Dispatcher) newWorker(e Worker) *worker {
 	w := &worker{kind: d.kindOf(e.Kind), slow: 1, turn: -1}
 	w.usual, w.others = w.kind.usual, w.kind.usual
-	w.proven = d.lists == 0
+	w.proven = d.lists == 0 || e.Pulls // one that asks is there
 	if old := d.workers[e.ID]; old != nil {
 		w.proven = old.proven
 		w.nominal, w.slow, w.slowAt = old.nominal, old.slow, old.slowAt
--- a/cmd/liftgauge/main.go
+++ b/cmd/liftgauge/main.go
@@ -2,14 +2,20 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"log/slog"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
 	"liftgauge/internal/config"
+	"liftgauge/internal/settings"
+	"liftgauge/route"
 )
 
 func main() {
@@ -34,7 +40,7 @@
 }
 
 func serveCommand() *cobra.Command {
-	var level string
+	var o options
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve jobs until SIGTERM; reload on SIGHUP",
@@ -46,17 +52,69 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), c, level, cmd.ErrOrStderr())
+			log, err := o.logger(cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			own, err := o.load(cmd.Context(), c)
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), c, own, o, log)
 		},
 	}
-	cmd.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	cmd.Flags().StringVar(&o.level, "log-level", "info", "debug, info, warn or error")
+	cmd.Flags().StringVar(&o.format, "log-format", "text", "text or json")
+	cmd.Flags().StringVar(&o.settings, "settings", "", "settings file in CUE; LB_SETTINGS where it is not given")
 	return cmd
 }
 
+// options are what the command line says beside the configuration.
+type options struct{ level, format, settings string }
+
+func (o options) logger(w io.Writer) (*slog.Logger, error) {
+	var least slog.Level
+	if err := least.UnmarshalText([]byte(o.level)); err != nil {
+		return nil, fmt.Errorf("log-level: %w", err)
+	}
+	how := &slog.HandlerOptions{Level: least}
+	switch o.format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, how)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, how)), nil
+	}
+	return nil, fmt.Errorf("log-format: want text or json, have %q", o.format)
+}
+
+// own is what the settings file says, checked against the configuration.
+type own struct {
+	*settings.Settings
+	table *route.Table
+}
+
+// load reads the settings file, if there is one.
+func (o options) load(ctx context.Context, c *config.Config) (*own, error) {
+	folder, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	s, err := settings.Load(ctx, cmp.Or(o.settings, os.Getenv("LB_SETTINGS")), filepath.Dir(folder))
+	if err != nil {
+		return nil, err
+	}
+	table, err := route.New(c.Classes, c.Settings.Classes, s.Gearman)
+	if err != nil {
+		return nil, err
+	}
+	return &own{s, table}, nil
+}
+
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var o options
+	cmd := &cobra.Command{
 		Use:   "check [FILE]",
-		Short: "Validate a configuration: FILE, or the one that LB_CONFIG names",
+		Short: "Validate a configuration: FILE, or the one that LB_CONFIG names; with --settings those settings too",
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			getenv := os.Getenv
@@ -78,9 +136,23 @@
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: listens on %s, %d classes, %d hosts known, %d MB, %d sockets\n",
 				c.Name, c.Listen, len(c.Classes), len(known.Hosts), c.Memory>>20, c.Sockets)
+			if o.settings == "" {
+				return nil
+			}
+			own, err := o.load(cmd.Context(), c)
+			if err != nil {
+				return err
+			}
+			if g := own.Gearman; g == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: gearman off\n", o.settings)
+			} else {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: gearman on %s, %d functions\n", o.settings, g.Listen, len(own.table.Functions()))
+			}
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&o.settings, "settings", "", "settings file to validate with it")
+	return cmd
 }
 
 func versionCommand() *cobra.Command {
--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -140,7 +140,7 @@
 			t.Fatal(err)
 		}
 		go func() { hup <- syscall.SIGHUP; stop() }()
-		reload(ctx, hup, c, getenv, func(a string) { moves.WriteString(a + " ") }, slog.New(slog.NewTextHandler(&logged, nil)))
+		reload(ctx, hup, c, getenv, func(a string) { moves.WriteString(a + " ") }, slog.New(slog.NewTextHandler(&logged, nil)), func() error { return nil })
 	}
 	step(":2", ":3")
 	step(":2", ":two")
--- /dev/null
+++ b/cmd/liftgauge/pulls.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"reflect"
+	"strconv"
+	"syscall"
+	"time"
+
+	"liftgauge/internal/budget"
+	"liftgauge/internal/config"
+	"liftgauge/internal/control"
+	"liftgauge/internal/gearman"
+	"liftgauge/internal/http1"
+	"liftgauge/internal/north"
+	"liftgauge/internal/owner"
+	"liftgauge/internal/work"
+)
+
+// pulls is the Gearman side as the program starts, reloads and ends it. It is nil where settings leave it off.
+type pulls struct {
+	*gearman.Server
+	own *own
+}
+
+// openGearman opens the listeners that the settings ask for.
+func openGearman(ctx context.Context, own *own) (*pulls, []net.Listener, error) {
+	if own.Gearman == nil {
+		return nil, nil, nil
+	}
+	// Old and new process of an upgrade listen side by side: new connections go to either until the old one closes.
+	open := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if cerr := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1) }); cerr != nil {
+			return cerr
+		}
+		return err
+	}}
+	open.SetMultipathTCP(false)
+	var all []net.Listener
+	for _, address := range []string{own.Gearman.Listen, own.Gearman.Workers} {
+		if address == "" {
+			continue
+		}
+		l, err := open.Listen(ctx, "tcp", address)
+		if err != nil {
+			for _, l := range all {
+				l.Close()
+			}
+			return nil, nil, fmt.Errorf("gearman: listen: %w", err)
+		}
+		all = append(all, l)
+	}
+	return &pulls{own: own}, all, nil
+}
+
+const soReusePort = 15 // SO_REUSEPORT, which package syscall does not name on every machine
+
+func (p *pulls) start(c gearman.Config) { p.Server = gearman.New(c) }
+
+// wrap makes of a client's call what workers understand as well.
+func (p *pulls) wrap(classes []string) func(class int, call *http1.Call) any {
+	return func(class int, call *http1.Call) any {
+		return work.FromHTTP(call, classes[class], p.Table().FunctionOf(class))
+	}
+}
+
+// boot tells this process's handles from those of all others.
+func boot() string {
+	var b [4]byte
+	rand.Read(b[:])
+	return strconv.FormatInt(time.Now().Unix(), 36) + hex.EncodeToString(b[:])
+}
+
+// reload reads the settings file anew. Nothing of a file that cannot be used counts.
+func (p *pulls) reload(ctx context.Context, o options, c *config.Config, owner *owner.Owner, log *slog.Logger) error {
+	next, err := o.load(ctx, c)
+	if err != nil {
+		return err
+	}
+	if (next.Gearman != nil) != (p != nil) {
+		log.Warn("settings reloaded: these take a restart", "fields", []string{"gearman"})
+		return nil
+	}
+	if p == nil {
+		return nil
+	}
+	fields := p.own.table.Fixed(next.table)
+	if p.own.Gearman.Listen != next.Gearman.Listen || p.own.Gearman.Workers != next.Gearman.Workers {
+		fields = append(fields, "gearman.listen")
+	}
+	if len(fields) > 0 { // the table would not fit the module's classes: none of the new one counts
+		log.Warn("settings not reloaded: these take a restart", "fields", fields)
+		return nil
+	}
+	if reflect.DeepEqual(p.own.Gearman, next.Gearman) {
+		return nil
+	}
+	p.Reload(next.table, next.Gearman)
+	owner.Reroute(next.table.HostRuns)
+	log.Info("settings reloaded")
+	return nil
+}
+
+// figures are the Gearman side's, and how the bytes held stand.
+func (p *pulls) figures(bytes *budget.Budget) []control.Figure {
+	if p == nil { // the platform's figures stay what they are
+		return nil
+	}
+	all := []control.Figure{{Name: "held_bytes", N: bytes.Held()}, {Name: "held_bytes_peak", N: bytes.Peak()}, {Name: "held_turned_total", N: bytes.Turned()}}
+	c := p.Counts()
+	for _, f := range []control.Figure{
+		{Name: "submitted_total", N: c.Submitted}, {Name: "attached_total", N: c.Attached}, {Name: "served_total", N: c.Served},
+		{Name: "failed_total", N: c.Failed}, {Name: "refused_total", N: c.BackOffs}, {Name: "abandoned_total", N: c.Abandoned},
+		{Name: "turned_total", N: c.Turned}, {Name: "assigned_total", N: c.Assigned}, {Name: "no_jobs_total", N: c.NoJobs},
+		{Name: "late_words_total", N: c.Late}, {Name: "silent_total", N: c.Silent}, {Name: "overdue_total", N: c.Overdue},
+		{Name: "slow_readers_total", N: c.Slow}, {Name: "malformed_total", N: c.Malformed}, {Name: "background_cut_total", N: c.BackgroundLost},
+		{Name: "connections", N: c.Connections}, {Name: "workers", N: c.Workers}, {Name: "waiting", N: c.Waiting}, {Name: "running", N: c.Running},
+	} {
+		all = append(all, control.Figure{Name: "gearman_" + f.Name, N: f.N})
+	}
+	return all
+}
+
+// room shares out so many descriptors and the memory for connections between the clients' side, the hosts' and Gearman's.
+func (n *node) room(sockets int, memory int64) (northConns, southConns, pullConns int) {
+	northConns, southConns = room(n.c, sockets, memory)
+	if n.pulls == nil {
+		return northConns, southConns, 0
+	}
+	pullConns = northConns / 2
+	if want := n.pulls.own.Gearman.Limits.Connections; want > 0 {
+		// What was asked for, as far as a few are left for clients and for call-backs.
+		all := northConns + southConns
+		pullConns = min(want, max(all-8, 2))
+		southConns = max(min(southConns, (all-pullConns)/2), 1)
+		northConns = all - southConns
+	}
+	return max(northConns-pullConns, 1), southConns, pullConns
+}
+
+// sides are all that clients and workers connect to, as a planned end meets them.
+func (n *node) sides() leaver {
+	if n.pulls == nil {
+		return n.clients
+	}
+	return both{n.clients, n.pulls}
+}
+
+// both ends two sides together.
+type both struct {
+	clients *north.Server
+	pulls   *pulls
+}
+
+func (b both) Enter(p north.Phase) {
+	b.clients.Enter(p)
+	b.pulls.Enter(gearman.Phase(p)) // they go alike
+}
+func (b both) Open() int64 { return b.clients.Open() + b.pulls.Open() }
+func (b both) HandOver() {
+	b.clients.HandOver()
+	b.pulls.HandOver()
+}
+func (b both) Rest() int { return b.clients.Rest() + b.pulls.Rest() }
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -17,7 +16,9 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
 	"liftgauge/internal/control"
+	"liftgauge/internal/gearman"
 	"liftgauge/internal/handover"
+	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/inventory"
 	"liftgauge/internal/north"
@@ -92,12 +93,10 @@
 // lateSink lets the sides be made before the owner that they report to.
 type lateSink struct{ *owner.Owner }
 
-func serve(ctx context.Context, c *config.Config, level string, errs io.Writer) error {
-	var least slog.Level
-	if err := least.UnmarshalText([]byte(level)); err != nil {
-		return fmt.Errorf("log-level: %w", err)
+func serve(ctx context.Context, c *config.Config, own *own, o options, log *slog.Logger) error {
+	if own.Sockets > 0 {
+		c.Sockets = min(own.Sockets, c.Offered)
 	}
-	log := slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: least}))
 	// Never stopped: without a handler SIGHUP ends the program, and one may come at any moment, past SIGTERM too.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -117,6 +116,10 @@
 			return fmt.Errorf("control: %w", err)
 		}
 	}
+	pulls, listeners, err := openGearman(ctx, own)
+	if err != nil {
+		return err
+	}
 	n, known := meet(ctx, c, known, log)
 	shares := budget.Share(c.Memory)
 	debug.SetMemoryLimit(shares.Runtime)
@@ -126,20 +129,30 @@
 	check := &invariant.Checker{Log: log}
 	bytes.Check = check
 	sink := &lateSink{}
-	northConns, southConns := room(c, c.Sockets, c.Memory)
+	n.pulls = pulls
+	northConns, southConns, pullConns := n.room(c.Sockets, c.Memory)
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
 	list.Spread = min(time.Duration(c.Settings.Dispatchers)*remakeFor, longestRemake)
-	sink.Owner = owner.New(owner.Config{Settings: c.Settings, Seed: c.Seed, Known: known.Hosts, South: hosts,
+	module := c.Settings
+	module.Classes = own.table.Classes()
+	sink.Owner = owner.New(owner.Config{Settings: module, HostRuns: own.table.HostRuns, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
 		Follows: n.follows, Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
 	var other north.Other
 	if n.peer != nil {
 		other = n.peer
 	}
-	clients := north.New(north.Config{Desk: sink, Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
+	var wrap func(int, *http1.Call) any
+	if pulls != nil {
+		pulls.start(gearman.Config{Desk: sink.Owner, Routes: own.table, Settings: own.Gearman, Classes: module.Classes, Zone: c.Settings.Zone,
+			Kinds: len(c.Kinds), Name: c.Name, Boot: boot(), MaxConns: pullConns, Budget: bytes, LastAnswer: lastAnswer,
+			Shutdown: cancel, Now: now, Log: log, Check: check})
+		wrap = pulls.wrap(c.Classes)
+	}
+	clients := north.New(north.Config{Desk: sink, Wrap: wrap, Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
 		MaxConns: northConns, Budget: bytes, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
 	n.owner, n.clients, n.hosts, n.list, n.bytes = sink.Owner, clients, hosts, list, bytes
 	if n.peer != nil {
@@ -154,9 +167,13 @@
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
 		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Drain: clients.Drain, Offline: n.call, Log: log,
-			Figures: func() control.Figures { return figures(c, clients, sink.Owner) }})
+			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
+	if pulls != nil {
+		log.Info("gearman", "listen", own.Gearman.Listen, "workers", own.Gearman.Workers, "functions", len(own.table.Functions()))
+		group.Go(func() error { return pulls.Run(run, listeners...) })
+	}
 	group.Go(func() error { return list.Run(run) })
 	group.Go(func() error { return n.store.Run(run) })
 	owned, ownerEnds := context.WithCancel(context.Background())
@@ -173,11 +190,11 @@
 		return nil
 	})
 	group.Go(func() error {
-		reload(run, hup, c, os.Getenv, list.Move, log)
+		reload(run, hup, c, os.Getenv, list.Move, log, func() error { return pulls.reload(run, o, c, sink.Owner, log) })
 		return nil
 	})
 	group.Go(func() error {
-		leave(ctx, run, clients, n.succeeded, log)
+		leave(ctx, run, n.sides(), n.succeeded, log)
 		end()
 		return nil
 	})
@@ -185,9 +202,10 @@
 }
 
 // figures gathers the counts, each from where the thing is counted.
-func figures(c *config.Config, clients *north.Server, o *owner.Owner) control.Figures {
+func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget) control.Figures {
 	f := control.Figures{Forwards: o.Forwards(), Outstanding: clients.Outstanding()}
 	f.Discovered, f.Ejected = o.Fleet()
+	f.More = pulls.figures(bytes)
 	for i, name := range c.Classes {
 		r := clients.Results(i)
 		f.Classes = append(f.Classes, control.Class{Name: name, Succeeded: r.Succeeded, Declined: r.Declined, Aborted: r.Aborted})
@@ -197,14 +215,19 @@
 
 // reload reads the configuration anew at every signal, until the context ends. All of it is decoded and checked before
 // any of it counts: of a file that cannot be used nothing does. Only discovery can change while the program runs.
+//
+// The settings file is read anew as well, by itself: what is wrong with one file does not keep the other from counting.
 func reload(ctx context.Context, hup <-chan os.Signal, c *config.Config, getenv func(string) string, move func(address string),
-	log *slog.Logger) {
+	log *slog.Logger, settings func() error) {
 	for {
 		select {
 		case <-hup:
 		case <-ctx.Done():
 			return
 		}
+		if err := settings(); err != nil {
+			log.Error("settings not reloaded: those before hold", "err", err)
+		}
 		next, err := config.Reload(getenv)
 		if err == nil {
 			_, err = knownList(next)
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -30,6 +30,7 @@
 	hosts   *south.Client
 	list    *inventory.Client
 	bytes   *budget.Budget
+	pulls   *pulls // nil where Gearman is off
 	log     *slog.Logger
 	follows bool        // its list is that of a process before it
 	started atomic.Bool // it takes clients, and the process before knows
@@ -130,7 +131,7 @@
 	shares := budget.Share(memory)
 	debug.SetMemoryLimit(shares.Runtime)
 	n.bytes.SetLimit(shares.Messages)
-	northConns, southConns := room(n.c, sockets, memory)
+	northConns, southConns, _ := n.room(sockets, memory)
 	n.clients.SetLimit(northConns)
 	n.hosts.SetLimit(southConns)
 	if !on { // the other may have written last, without what only this one knows
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -218,3 +218,6 @@
 		pools[c].Put(&b)
 	}
 }
+
+// Take0 returns a Hold of nothing yet, which Grow is to be used on.
+func (b *Budget) Take0() *Hold { return newHold(b, 0, 0, false) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Seed      uint64
 	Memory    int64 // bytes
 	Sockets   int
+	Offered   int // descriptors that there are, of which the program takes Sockets unless it is told otherwise
 	Settings  balance.Settings
 	Classes   []string // names, by the module's number
 	Zones     []string
@@ -117,7 +118,8 @@
 		limits.Fail("sockets", fmt.Sprint(minSockets, " or more"))
 	}
 	c.Memory = min(cmp.Or(mb, maxMemoryMB), maxMemoryMB) << 20
-	c.Sockets = int(min(cmp.Or(sockets, maxSockets), maxSockets))
+	c.Offered = int(min(cmp.Or(sockets, maxSockets), 1<<20))
+	c.Sockets = min(c.Offered, maxSockets)
 	if seed := root.Text("seed"); seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 			root.Fail("seed", "at most 16 hex digits")
--- a/internal/control/figures.go
+++ b/internal/control/figures.go
@@ -9,6 +9,13 @@
 	Outstanding int64 // messages taken and not ended
 	Discovered  int64 // hosts in the inventory
 	Ejected     int64 // of these, those avoided now
+	More        []Figure
+}
+
+// Figure is one more number with a name of its own.
+type Figure struct {
+	Name string
+	N    int64
 }
 
 // Class counts the messages of one class by how they ended. Every message ends in exactly one way.
@@ -39,6 +46,10 @@
 		b = append(b, prefix+g.name+" "...)
 		b = append(strconv.AppendInt(b, g.n, 10), '\n')
 	}
+	for _, m := range f.More {
+		b = append(b, prefix+m.Name+" "...)
+		b = append(strconv.AppendInt(b, m.N, 10), '\n')
+	}
 	return b
 }
 
--- /dev/null
+++ b/internal/gearman/gearman_test.go
@@ -0,0 +1,824 @@
+package gearman
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"liftgauge/balance"
+	"liftgauge/internal/budget"
+	"liftgauge/internal/gearman/packet"
+	"liftgauge/internal/invariant"
+	"liftgauge/internal/owner"
+	"liftgauge/internal/settings"
+	"liftgauge/internal/standin"
+	"liftgauge/internal/work"
+	"liftgauge/route"
+)
+
+const (
+	reading = "gauge-reading" // keyed, by cell
+	warning = "send-warning"  // must never run twice
+)
+
+var classNames = []string{reading, warning}
+
+func classes() []balance.Class {
+	return []balance.Class{
+		{Aim: 200 * time.Millisecond, Worth: 2, LateWorth: 0.25, Limit: 5 * time.Second, Effect: balance.Keyed, Window: 7500 * time.Millisecond, Kind: -1},
+		{Aim: 200 * time.Millisecond, Worth: 10, LateWorth: 0.2, Limit: 5 * time.Second, Kind: -1},
+	}
+}
+
+func testGearman() *settings.Gearman {
+	return &settings.Gearman{
+		Limits: settings.Limits{Packet: 256 << 10, Function: 64, Unique: 64, Client: 64, JobsPerConnection: 300, FunctionsPerWorker: 4,
+			OpenJobs: 400, Buffer: 64 << 10},
+		Timeouts: settings.Timeouts{Grab: settings.Duration(time.Second), Packet: settings.Duration(2 * time.Second),
+			Write: settings.Duration(2 * time.Second), Ended: settings.Duration(time.Minute), KeepEnded: 10},
+	}
+}
+
+// pipes is a listener whose connections are pipes.
+type pipes struct {
+	calls chan net.Conn
+	once  *sync.Once
+}
+
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+func (p pipes) Close() error   { p.once.Do(func() { close(p.calls) }); return nil }
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p.calls; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// world is a server with a real owner, in a synctest bubble.
+type world struct {
+	t    *testing.T
+	o    *owner.Owner
+	s    *Server
+	l    pipes
+	log  bytes.Buffer
+	http []*owner.Attempt // sends to hosts that speak HTTP
+	shut int
+	mu   sync.Mutex
+	stop context.CancelFunc
+}
+
+func (w *world) Send(_ context.Context, a *owner.Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.http = append(w.http, a)
+}
+func (w *world) Probe(owner.Host)  {}
+func (w *world) Forget(owner.Host) {}
+func (w *world) Watch()            {}
+
+func within(t *testing.T, change func(*settings.Gearman), hosts int, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, l: pipes{make(chan net.Conn), &sync.Once{}}}
+		g := testGearman()
+		if change != nil {
+			change(g)
+		}
+		table, err := route.New(classNames, classes(), g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
+		log := slog.New(slog.NewTextHandler(&w.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+		check := &invariant.Checker{Log: log}
+		var known []owner.Host
+		for i := range hosts {
+			known = append(known, owner.Host{Name: fmt.Sprintf("s-%08x", i), Address: "x:1", Worker: balance.Worker{Weight: 1}})
+		}
+		w.o = owner.New(owner.Config{Settings: balance.Settings{Classes: table.Classes(), Dispatchers: 1, Tick: 2 * time.Millisecond,
+			TellsStart: true, MaxAttempts: 4, ConnectTimeout: 250 * time.Millisecond, CanCancel: true, CanProbe: true, FreeSlots: -1,
+			FreeMemory: -1, Queue: -1, DrainGrace: 500 * time.Millisecond, StartCapacity: 0.3, WarmWithin: 8 * time.Second,
+			OverloadFactor: 2.5, FallTime: 2 * time.Second}, Seed: 7, Known: known, South: w, Inventory: w, Queue: 512, Log: log, Check: check,
+			HostRuns: table.HostRuns, Now: now})
+		w.s = New(Config{Desk: w.o, Routes: table, Settings: g, Classes: table.Classes(), Name: "n0", Boot: "b", MaxConns: 64,
+			Budget: budget.New(16<<20, 4<<20), LastAnswer: 3200 * time.Millisecond, Shutdown: func() { w.shut++ }, Now: now, Log: log, Check: check})
+		ctx, stop := context.WithCancel(t.Context())
+		w.stop = stop
+		go w.o.Run(ctx)
+		go w.s.Run(ctx, w.l)
+		synctest.Wait()
+		test(w)
+		if held := w.s.Budget.Held(); held != 0 && w.s.Open() == 0 {
+			w.wait(10 * time.Second) // until the end of what was withdrawn
+			if held = w.s.Budget.Held(); held != 0 {
+				t.Errorf("%d bytes still held", held)
+			}
+		}
+		stop()
+		synctest.Wait()
+		if n := check.Breaches(); n > 0 {
+			t.Errorf("%d invariants broken: %s", n, &w.log)
+		}
+	})
+}
+
+// wait lets time pass.
+func (w *world) wait(d time.Duration) {
+	w.mu.Lock()
+	w.mu.Unlock()
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// peer is a scripted client or worker. It keeps what it was sent.
+type peer struct {
+	*standin.Wire
+	w      *world
+	got    []string
+	closed bool
+	deaf   chan struct{} // closed: it reads; nil: always
+}
+
+func (w *world) dial() *peer {
+	near, far := net.Pipe()
+	w.l.calls <- far
+	p := &peer{Wire: &standin.Wire{Conn: near}, w: w}
+	go p.read()
+	return p
+}
+
+func (p *peer) read() {
+	for {
+		f, err := p.Next()
+		p.w.mu.Lock()
+		if err != nil {
+			p.closed = true
+			p.w.mu.Unlock()
+			return
+		}
+		p.got = append(p.got, packet.Type(f.Type).String()+" "+strings.ReplaceAll(string(f.Body), "\x00", "|"))
+		p.w.mu.Unlock()
+	}
+}
+
+func (p *peer) say(t packet.Type, args ...string) {
+	p.Send(int(t), args...)
+	synctest.Wait()
+}
+
+// raw writes bytes as they are, in one write.
+func (p *peer) raw(b string) {
+	p.Write([]byte(b))
+	synctest.Wait()
+}
+
+// want compares what the peer was sent since the last time.
+func (p *peer) want(want ...string) {
+	p.w.t.Helper()
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	for i := range p.got {
+		p.got[i] = strings.TrimSpace(p.got[i])
+	}
+	if !slices.EqualFunc(p.got, want, func(got, want string) bool {
+		prefix, ok := strings.CutSuffix(want, "*")
+		return got == want || ok && strings.HasPrefix(got, prefix)
+	}) {
+		p.w.t.Errorf("got %q, want %q", p.got, want)
+	}
+	p.got = nil
+}
+
+// worker connects one that sleeps.
+func (w *world) worker(client string, functions ...string) *peer {
+	p := w.dial()
+	if client != "" {
+		p.say(packet.SetClientID, client)
+	}
+	for _, f := range functions {
+		p.say(packet.CanDo, f)
+	}
+	p.say(packet.PreSleep)
+	return p
+}
+
+// picked waits until a worker is woken. One that has just come is thought to be slow: the first jobs wait a little.
+func (p *peer) picked() {
+	p.w.t.Helper()
+	p.w.wait(200 * time.Millisecond)
+	p.want("NOOP")
+}
+
+// take has a woken worker ask for its job.
+func (p *peer) take(handle, function, data string) {
+	p.w.t.Helper()
+	p.picked()
+	p.say(packet.GrabJob)
+	p.want("JOB_ASSIGN " + handle + "|" + function + "|" + data)
+}
+
+// idle has a worker ask and go to sleep.
+func (p *peer) idle() {
+	p.w.t.Helper()
+	p.say(packet.GrabJob)
+	p.want("NO_JOB")
+	p.say(packet.PreSleep)
+	p.want()
+}
+
+func TestServed(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("rain-1", reading, warning), w.dial()
+		for i, unique := range []string{"u", "", "-"} { // the last two are like no other, and like the data
+			h := fmt.Sprint("H:n0:b-", i+1)
+			c.say(packet.SubmitJob, warning, unique, "level 3")
+			c.want("JOB_CREATED " + h)
+			p.take(h, warning, "level 3")
+			p.say(packet.WorkStatus, h, "1", "2")
+			p.say(packet.WorkData, h, "a\x00b")
+			p.say(packet.WorkWarning, h, "high")
+			p.say(packet.WorkException, h, "nobody asked for it")
+			p.say(packet.WorkComplete, h, "sent")
+			c.want("WORK_STATUS "+h+"|1|2", "WORK_DATA "+h+"|a|b", "WORK_WARNING "+h+"|high", "WORK_COMPLETE "+h+"|sent")
+			p.idle()
+		}
+	})
+}
+
+// TestGrabKinds: each kind of GRAB_JOB has its own JOB_ASSIGN.
+func TestGrabKinds(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", reading), w.dial()
+		for i, k := range []struct {
+			t    packet.Type
+			want string
+		}{{packet.GrabJob, "JOB_ASSIGN H:n0:b-1|gauge-reading|d"}, {packet.GrabJobUniq, "JOB_ASSIGN_UNIQ H:n0:b-2|gauge-reading|u|d"},
+			{packet.GrabJobAll, "JOB_ASSIGN_ALL H:n0:b-3|gauge-reading|u|sum|d"}} {
+			c.say(packet.SubmitReduceJob, reading, "u", "sum", "d")
+			p.picked()
+			p.say(k.t)
+			p.want(k.want)
+			p.say(packet.WorkComplete, fmt.Sprint("H:n0:b-", i+1), "")
+			p.idle()
+		}
+	})
+}
+
+// TestUnasked: one that grabs without having been picked gets nothing, however many jobs wait for others.
+func TestUnasked(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		a, c := w.worker("a", warning), w.dial()
+		c.say(packet.SubmitJob, warning, "", "1")
+		b := w.worker("b", warning)
+		b.say(packet.GrabJob)
+		b.want("NO_JOB")
+		b.say(packet.PreSleep)
+		w.wait(200 * time.Millisecond)
+		if len(a.got)+len(b.got) != 1 {
+			t.Errorf("woken: %q, %q", a.got, b.got)
+		}
+	})
+}
+
+// TestDrop: a worker that drops mid-job may have run it; one that drops before it got all of JOB_ASSIGN has not.
+func TestDrop(t *testing.T) {
+	for _, c := range []struct {
+		name, function string
+		mid            bool // it had the job
+		cell           bool // another worker is of the same cell
+		again          bool
+	}{
+		{"a warning that may have run", warning, true, true, false},
+		{"a reading that may have run, in the cell", reading, true, true, true},
+		{"a reading that may have run, out of the cell", reading, true, false, false},
+		{"a warning between NOOP and GRAB_JOB", warning, false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			within(t, func(g *settings.Gearman) { g.Cells = []settings.Group{{Name: "k", Clients: "k-*"}} }, 0, func(w *world) {
+				first := w.worker("k-1", c.function)
+				client := w.dial()
+				client.say(packet.SubmitJob, c.function, "u", "d")
+				client.want("JOB_CREATED H:n0:b-1")
+				other := "o-1"
+				if c.cell {
+					other = "k-2"
+				}
+				second := w.worker(other, c.function)
+				first.picked()
+				if c.mid {
+					first.say(packet.GrabJob)
+					first.want("JOB_ASSIGN*")
+				}
+				first.Close()
+				synctest.Wait()
+				if !c.again {
+					w.wait(3 * time.Second)
+					second.want()
+					w.wait(3 * time.Second)
+					client.want("WORK_FAIL H:n0:b-1")
+					return
+				}
+				second.take("H:n0:b-1", c.function, "d")
+				second.say(packet.WorkComplete, "H:n0:b-1", "ok")
+				client.want("WORK_COMPLETE H:n0:b-1|ok")
+			})
+		})
+	}
+}
+
+// half lets so many bytes of each write through from some write on, and then breaks.
+type half struct {
+	net.Conn
+	after, bytes int
+}
+
+func (h *half) Write(b []byte) (int, error) {
+	if h.after--; h.after >= 0 {
+		return h.Conn.Write(b)
+	}
+	n, _ := h.Conn.Write(b[:min(h.bytes, len(b))])
+	h.Conn.Close()
+	return n, io.ErrClosedPipe
+}
+
+// TestHalfAssigned: JOB_ASSIGN half written has never run.
+func TestHalfAssigned(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		near, far := net.Pipe()
+		w.l.calls <- &half{Conn: far, after: 1, bytes: 20} // NOOP goes whole
+		p := &peer{Wire: &standin.Wire{Conn: near}, w: w}
+		go p.read()
+		p.say(packet.CanDo, warning)
+		p.say(packet.PreSleep)
+		c := w.dial()
+		c.say(packet.SubmitJob, warning, "", "d")
+		w.wait(200 * time.Millisecond)
+		p.say(packet.GrabJob)
+		second := w.worker("b", warning)
+		w.wait(200 * time.Millisecond)
+		second.take("H:n0:b-1", warning, "d")
+		if w.o.Forwards() != 1 {
+			t.Errorf("%d forwards", w.o.Forwards())
+		}
+	})
+}
+
+// TestClientGone: a job that waits is dropped with its client; of one that runs the result is, and the worker gets nothing
+// else before its word; one that somebody else waits for goes on.
+func TestClientGone(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", warning), w.dial()
+		c.say(packet.SubmitJob, warning, "", "runs")
+		p.take("H:n0:b-1", warning, "runs")
+		c.say(packet.SubmitJob, warning, "", "waits")
+		c.Close()
+		w.wait(time.Second)
+		if n := w.s.Open(); n != 0 {
+			t.Errorf("%d jobs open", n)
+		}
+		d := w.dial()
+		d.say(packet.SubmitJob, warning, "", "next")
+		w.wait(2 * time.Second)
+		p.want() // it is still at the first
+		p.say(packet.WorkComplete, "H:n0:b-1", "late")
+		p.say(packet.GrabJob)
+		w.wait(200 * time.Millisecond)
+		if len(p.got) == 1 && p.got[0] == "NO_JOB " { // it is listed anew a moment later
+			p.got = nil
+			p.say(packet.PreSleep)
+			w.wait(200 * time.Millisecond)
+			p.take("H:n0:b-3", warning, "next")
+		} else {
+			p.want("JOB_ASSIGN H:n0:b-3|send-warning|next")
+		}
+	})
+	within(t, nil, 0, func(w *world) {
+		p, c, d := w.worker("x", warning), w.dial(), w.dial()
+		c.say(packet.SubmitJob, warning, "u", "1")
+		d.say(packet.SubmitJob, warning, "u", "1")
+		c.say(packet.SubmitJob, warning, "u", "1") // twice by one: it waits twice
+		d.want("JOB_CREATED H:n0:b-1")
+		c.want("JOB_CREATED H:n0:b-1", "JOB_CREATED H:n0:b-1")
+		p.take("H:n0:b-1", warning, "1")
+		p.say(packet.WorkData, "H:n0:b-1", "x")
+		c.want("WORK_DATA H:n0:b-1|x", "WORK_DATA H:n0:b-1|x")
+		c.Close()
+		p.say(packet.WorkComplete, "H:n0:b-1", "ok")
+		d.want("WORK_DATA H:n0:b-1|x", "WORK_COMPLETE H:n0:b-1|ok")
+		if n := w.s.Counts(); n.Attached != 2 || n.Assigned != 1 || n.Submitted != 1 {
+			t.Errorf("%+v", n)
+		}
+	})
+}
+
+// TestCantDo: nothing new from that moment; what is open ends as it ends.
+func TestCantDo(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", warning), w.dial()
+		c.say(packet.SubmitJob, warning, "", "1")
+		p.take("H:n0:b-1", warning, "1")
+		p.say(packet.CantDo, warning)
+		c.say(packet.SubmitJob, warning, "", "2")
+		p.say(packet.WorkComplete, "H:n0:b-1", "ok")
+		c.want("JOB_CREATED H:n0:b-1", "JOB_CREATED H:n0:b-2", "WORK_COMPLETE H:n0:b-1|ok")
+		p.idle()
+		p.say(packet.CanDo, warning)
+		p.picked()
+		p.say(packet.ResetAbilities) // between NOOP and GRAB_JOB
+		p.say(packet.GrabJob)
+		p.want("NO_JOB")
+		q := w.worker("y", warning)
+		w.wait(200 * time.Millisecond)
+		q.take("H:n0:b-2", warning, "2")
+	})
+}
+
+// TestLateWords: a second end, an end after a failure, for another's handle, for an unknown one: no second answer.
+func TestLateWords(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, q, c := w.worker("x", warning), w.worker("y", warning), w.dial()
+		c.say(packet.SubmitJob, warning, "", "1")
+		w.wait(200 * time.Millisecond)
+		if len(p.got) == 0 {
+			p, q = q, p
+		}
+		p.take("H:n0:b-1", warning, "1")
+		q.say(packet.WorkComplete, "H:n0:b-1", "another's")
+		q.say(packet.WorkComplete, "H:nowhere", "unknown")
+		c.want("JOB_CREATED H:n0:b-1")
+		p.say(packet.WorkFail, "H:n0:b-1")
+		p.say(packet.WorkComplete, "H:n0:b-1", "after all")
+		p.say(packet.WorkFail, "H:n0:b-1")
+		c.want("WORK_FAIL H:n0:b-1")
+		if n := w.s.Counts(); n.Late != 4 || n.Failed != 1 || n.Served != 0 {
+			t.Errorf("%+v", n)
+		}
+	})
+}
+
+// TestException: clients that asked for exceptions get them; the end is a WORK_FAIL, which some workers leave out.
+func TestException(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c, d := w.worker("x", warning), w.dial(), w.dial()
+		c.say(packet.OptionReq, "exceptions")
+		c.say(packet.OptionReq, "colours")
+		c.want("OPTION_RES exceptions", "ERROR unknown_option|*")
+		c.say(packet.SubmitJob, warning, "u", "1")
+		d.say(packet.SubmitJob, warning, "u", "1")
+		p.take("H:n0:b-1", warning, "1")
+		p.say(packet.WorkException, "H:n0:b-1", "broken gauge")
+		c.want("JOB_CREATED H:n0:b-1", "WORK_EXCEPTION H:n0:b-1|broken gauge")
+		p.idle()
+		c.want("WORK_FAIL H:n0:b-1")
+		d.want("JOB_CREATED H:n0:b-1", "WORK_FAIL H:n0:b-1")
+	})
+}
+
+// TestTimeouts: CAN_DO_TIMEOUT; a worker that is woken and does not ask; one that holds its job in silence.
+func TestTimeouts(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.dial(), w.dial()
+		p.say(packet.CanDoTimeout, warning, "1")
+		p.say(packet.CanDoTimeout, reading, "soon")
+		p.want("ERROR bad_timeout|*")
+		p.say(packet.PreSleep)
+		c.say(packet.SubmitJob, warning, "", "1")
+		p.take("H:n0:b-1", warning, "1")
+		w.wait(1100 * time.Millisecond)
+		c.want("JOB_CREATED H:n0:b-1", "WORK_FAIL H:n0:b-1")
+		p.say(packet.WorkComplete, "H:n0:b-1", "too late")
+		c.want()
+		p.idle()
+		c.say(packet.SubmitJob, warning, "", "2")
+		p.picked()
+		w.wait(1100 * time.Millisecond) // it does not ask: never sent, so it goes elsewhere
+		q := w.worker("y", warning)
+		w.wait(200 * time.Millisecond)
+		q.take("H:n0:b-2", warning, "2")
+		w.wait(5 * time.Second) // silent: its client's patience ends
+		c.want("JOB_CREATED H:n0:b-2", "WORK_FAIL H:n0:b-2")
+		q.Close()
+		if n := w.s.Counts(); n.Overdue != 1 || n.Silent != 1 || n.Assigned != 2 {
+			t.Errorf("%+v", n)
+		}
+	})
+}
+
+// TestHundredWorkers: one more that connects is cold, and gets one job like all others, never two.
+func TestHundredWorkers(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		var all []*peer
+		for i := range 20 {
+			all = append(all, w.worker(fmt.Sprint("k-", i), warning))
+		}
+		c := w.dial()
+		for range 60 {
+			c.say(packet.SubmitJob, warning, "", "x")
+		}
+		all = append(all, w.worker("late", warning))
+		w.wait(200 * time.Millisecond)
+		for i, p := range all {
+			if len(p.got) != 1 {
+				t.Errorf("worker %d was sent %q", i, p.got)
+			}
+		}
+	})
+}
+
+// TestHosts: a Gearman client's job on a host that speaks HTTP, with its progress.
+func TestHosts(t *testing.T) {
+	within(t, nil, 1, func(w *world) {
+		c := w.dial()
+		c.say(packet.SubmitJob, reading, "u", "level 3")
+		w.wait(200 * time.Millisecond)
+		if len(w.http) != 1 {
+			t.Fatalf("%d sends", len(w.http))
+		}
+		a := w.http[0]
+		call := work.Of(a.Message).HTTP()
+		if key, _ := call.Fields.Get("Idempotency-Key"); len(key) != 32 || call.Target != "/"+reading || call.Method != "POST" || string(call.Body) != "level 3" {
+			t.Errorf("%+v", call)
+		}
+		report := func(s owner.State, share float64) {
+			w.o.Reported(owner.Report{Key: call.ID, From: a.Host.Name, State: s, Share: share, Result: []byte("ok")}, nil, nil)
+			synctest.Wait()
+		}
+		report(owner.Started, 0)
+		c.say(packet.GetStatus, "H:n0:b-1")
+		report(owner.Progress, 0.4)
+		report(owner.Done, 0)
+		report(owner.Done, 0)
+		c.want("JOB_CREATED H:n0:b-1", "STATUS_RES H:n0:b-1|1|1|0|0", "WORK_STATUS H:n0:b-1|40|100", "WORK_COMPLETE H:n0:b-1|ok")
+		c.say(packet.SubmitJob, reading, "", strings.Repeat("x", 65<<10))
+		c.want("ERROR data_too_large|*")
+	})
+}
+
+// TestForgedReport: an HTTP call-back says nothing of a Gearman worker's job.
+func TestForgedReport(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", warning), w.dial()
+		c.say(packet.SubmitJob, warning, "", "1")
+		p.take("H:n0:b-1", warning, "1")
+		w.o.Reported(owner.Report{Key: "gb-1", From: "gearman:x:0", State: owner.Done}, nil, nil)
+		synctest.Wait()
+		c.want("JOB_CREATED H:n0:b-1")
+	})
+}
+
+func TestBackground(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", reading), w.dial()
+		c.say(packet.SubmitJobBg, reading, "u", "1")
+		c.want("JOB_CREATED H:n0:b-1")
+		c.Close() // nobody waits: it goes on
+		p.take("H:n0:b-1", reading, "1")
+		d := w.dial()
+		d.say(packet.GetStatusUnique, "u")
+		d.say(packet.SubmitJob, reading, "u", "1") // one who waits joins
+		p.say(packet.WorkStatus, "H:n0:b-1", "3", "4")
+		p.say(packet.WorkComplete, "H:n0:b-1", "ok")
+		d.want("STATUS_RES_UNIQUE u|1|1|0|0|0", "JOB_CREATED H:n0:b-1", "WORK_STATUS H:n0:b-1|3|4", "WORK_COMPLETE H:n0:b-1|ok")
+		d.say(packet.GetStatus, "H:n0:b-1")
+		w.wait(61 * time.Second)
+		d.say(packet.GetStatus, "H:n0:b-1")
+		d.want("STATUS_RES H:n0:b-1|1|0|3|4", "STATUS_RES H:n0:b-1|0|0|0|0")
+		if !strings.Contains(w.log.String(), `background job ended" handle=H:n0:b-1`) {
+			t.Error("its end is not logged")
+		}
+		p.idle()
+		d.say(packet.SubmitJobEpoch, reading, "", fmt.Sprint(time.Now().Add(3*time.Second).Unix()), "later")
+		w.wait(1900 * time.Millisecond)
+		p.want()
+		w.wait(1000 * time.Millisecond)
+		p.take("H:n0:b-2", reading, "later")
+	})
+}
+
+// TestMalformed: a clear error where a packet could be read, else the end; nothing else on the connection is lost.
+func TestMalformed(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", warning), w.dial()
+		c.say(packet.SubmitJob, warning, "", "1")
+		for _, b := range []string{
+			"\x00REQ\x00\x00\x00\x63\x00\x00\x00\x02xx", "\x00REQ\x00\x00\x00\x07\x00\x00\x00\x04a\x00bc", "\x00REQ\x00\x00\x00\x06\x00\x00\x00\x00",
+			"\x00REQ\x00\x00\x00\x07\x00\x00\x00\x06f\x00u\x00dd",
+		} {
+			for i := range len(b) { // in pieces
+				c.raw(b[i : i+1])
+			}
+		}
+		c.say(packet.SubmitJob, warning, strings.Repeat("u", 65), "")
+		c.say(packet.EchoReq, "still\x00here")
+		c.want("JOB_CREATED H:n0:b-1", "ERROR unknown_command|*", "ERROR bad_arguments|*", "ERROR unknown_command|*", "ERROR unknown_function|*",
+			"ERROR unique_too_long|*", "ECHO_RES still|here")
+		p.take("H:n0:b-1", warning, "1")
+		p.say(packet.WorkComplete, "H:n0:b-1", "ok")
+		c.want("WORK_COMPLETE H:n0:b-1|ok")
+		for text, want := range map[string]string{"\x00RES\x00\x00\x00\x07\x00\x00\x00\x00": "ERROR bad_magic|*",
+			"\x00REQ\x00\x00\x00\x07\xff\xff\xff\xff": "ERROR packet_too_large|*"} {
+			d := w.dial()
+			d.raw(text)
+			d.want(want)
+			if !d.closed {
+				t.Errorf("%q: still open", text)
+			}
+		}
+		half := w.worker("y", reading)
+		half.raw("\x00REQ\x00\x00\x00\x0d\x00\x00\x00\x20H:")
+		w.wait(2100 * time.Millisecond)
+		if !half.closed {
+			t.Error("half a packet holds the connection")
+		}
+	})
+}
+
+func TestBounds(t *testing.T) {
+	within(t, func(g *settings.Gearman) { g.Limits.OpenJobs, g.Limits.JobsPerConnection = 4, 3 }, 0, func(w *world) {
+		c, d, p := w.dial(), w.dial(), w.dial()
+		for range 4 {
+			c.say(packet.SubmitJob, warning, "", "x") // no worker ever came: they wait
+		}
+		c.want("JOB_CREATED*", "JOB_CREATED*", "JOB_CREATED*", "ERROR queue_full|too many open jobs on this connection")
+		d.say(packet.SubmitJob, reading, "", "x")
+		d.say(packet.SubmitJob, reading, "", "x")
+		d.want("JOB_CREATED*", "ERROR queue_full|too many open jobs")
+		for i := range 5 {
+			p.say(packet.CanDo, fmt.Sprint("f", i))
+		}
+		p.say(packet.CanDo, strings.Repeat("f", 65))
+		p.say(packet.SetClientID, strings.Repeat("i", 65))
+		p.want("ERROR too_many_functions|*", "ERROR bad_function|*", "ERROR id_too_long|*")
+		w.wait(6 * time.Second) // exactly one end each, in time
+		c.want("WORK_FAIL*", "WORK_FAIL*", "WORK_FAIL*")
+	})
+}
+
+// TestOffline: workers left out by hand get nothing, and what waits has its end in time; a worker that comes back has its
+// name, and the word stands.
+func TestOffline(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", warning), w.dial()
+		set := func(out bool) {
+			if known, err := w.o.SetOffline(w.t.Context(), "gearman:x:0", out, false); !known || err != nil {
+				t.Errorf("known %v, error %v", known, err)
+			}
+			synctest.Wait()
+		}
+		c.say(packet.SubmitJob, warning, "", "1")
+		p.picked()
+		set(true) // between NOOP and GRAB_JOB
+		p.idle()
+		p.Close()
+		w.wait(time.Second)
+		p = w.worker("x", warning)
+		w.wait(time.Second)
+		p.want()
+		set(false)
+		w.wait(200 * time.Millisecond)
+		p.take("H:n0:b-1", warning, "1")
+		p.say(packet.WorkComplete, "H:n0:b-1", "ok")
+		set(true)
+		c.say(packet.SubmitJob, warning, "", "2")
+		w.wait(6 * time.Second)
+		c.want("JOB_CREATED H:n0:b-1", "WORK_COMPLETE H:n0:b-1|ok", "JOB_CREATED H:n0:b-2", "WORK_FAIL H:n0:b-2")
+	})
+}
+
+// TestSlowReader: one that reads nothing is closed, and holds nobody up.
+func TestSlowReader(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		near, far := net.Pipe()
+		w.l.calls <- far
+		deaf := &standin.Wire{Conn: near}
+		deaf.Send(int(packet.SubmitJob), warning, "u", "1")
+		c, p := w.dial(), w.worker("x", warning)
+		c.say(packet.SubmitJob, warning, "u", "1")
+		p.take("H:n0:b-1", warning, "1")
+		for range 30 {
+			p.say(packet.WorkData, "H:n0:b-1", strings.Repeat("x", 30<<10))
+		}
+		p.say(packet.WorkComplete, "H:n0:b-1", "ok")
+		if len(c.got) != 32 || !strings.HasPrefix(c.got[31], "WORK_COMPLETE") {
+			t.Errorf("the other client got %d packets", len(c.got))
+		}
+		w.wait(3 * time.Second)
+		if _, err := near.Write([]byte("x")); err == nil {
+			t.Error("still open")
+		}
+		if n := w.s.Counts(); n.Slow != 1 {
+			t.Errorf("%+v", n)
+		}
+	})
+}
+
+// TestEnd: a planned end with 200 open jobs: each has exactly one end in time, and background jobs that were cut off are
+// logged by handle.
+func TestEnd(t *testing.T) {
+	within(t, nil, 0, func(w *world) {
+		p, c := w.worker("x", warning), w.dial()
+		for i := range 200 {
+			kind := packet.SubmitJob
+			if i%10 == 0 {
+				kind = packet.SubmitJobBg
+			}
+			c.say(kind, warning, "", "x")
+		}
+		created := len(c.got)
+		w.s.Enter(Leaving)
+		p.picked()
+		p.say(packet.GrabJob)
+		served := 0
+		for range 5 {
+			p.w.mu.Lock()
+			handle := strings.Split(strings.TrimPrefix(p.got[len(p.got)-1], "JOB_ASSIGN "), "|")[0]
+			p.w.mu.Unlock()
+			p.say(packet.WorkComplete, handle, "ok")
+			served++
+			p.say(packet.GrabJob)
+		}
+		w.wait(2 * time.Second)
+		w.s.Enter(Ending)
+		c.say(packet.SubmitJob, warning, "", "x")
+		w.wait(1500 * time.Millisecond)
+		if n := w.s.Open(); n != 0 {
+			t.Errorf("%d jobs open after the last answer", n)
+		}
+		ends := map[string]int{}
+		for _, g := range c.got[created:] {
+			ends[strings.Fields(g)[0]]++
+		}
+		if created != 200 || ends["WORK_COMPLETE"]+ends["WORK_FAIL"] != 180 || ends["ERROR"] != 1 {
+			t.Errorf("%d created, ends %v", created, ends)
+		}
+		p.Close()
+		if n := strings.Count(w.log.String(), "cut off by the planned end"); n == 0 || int64(n) != w.s.Counts().BackgroundLost || n+served < 20 {
+			t.Errorf("%d background jobs logged as cut off", n)
+		}
+	})
+}
+
+func TestAdmin(t *testing.T) {
+	within(t, func(g *settings.Gearman) { g.Shutdown = true }, 0, func(w *world) {
+		w.worker("rain 1", warning)
+		c := w.dial()
+		c.say(packet.SubmitJobHigh, warning, "u", "1")
+		c.say(packet.SubmitJobLow, warning, "", "2")
+		near, far := net.Pipe()
+		w.l.calls <- far
+		ask := func(line string) string {
+			go near.Write([]byte(line + "\r\n"))
+			b := make([]byte, 4096)
+			n, _ := near.Read(b)
+			return string(b[:n])
+		}
+		for _, s := range []struct{ line, want string }{
+			{"version", "OK liftgauge\n"},
+			{"status", "gauge-reading\t0\t0\t0\nsend-warning\t2\t0\t1\n.\n"},
+			{"prioritystatus", "gauge-reading\t0\t0\t0\t0\nsend-warning\t1\t0\t1\t1\n.\n"},
+			{"workers", "1 pipe rain_1 : send-warning\n2 pipe - :\n3 pipe - :\n.\n"},
+			{"show jobs", "H:n0:b-1\t0\t0\t1\nH:n0:b-2\t0\t0\t1\n.\n"},
+			{"show unique jobs", "u\n.\n"},
+			{"cancel job H:n0:b-2", "OK\n"},
+			{"cancel job H:n0:b-2", "ERR UNKNOWN_JOB no+job+of+that+handle+waits\n"},
+			{"maxqueue send-warning 1", "OK\n"},
+			{"maxqueue nothing 1", "ERR UNKNOWN_FUNCTION no+such+function+here\n"},
+			{"verbose", "OK INFO\n"},
+			{"dance", "ERR UNKNOWN_COMMAND unknown+server+command\n"},
+			{"shutdown gracelessly", "ERR UNKNOWN_ARGUMENTS want+shutdown+or+shutdown+graceful\n"},
+			{"shutdown graceful", "OK\n"},
+		} {
+			if got := ask(s.line); got != s.want {
+				t.Errorf("%s: %q, want %q", s.line, got, s.want)
+			}
+		}
+		if w.shut != 1 {
+			t.Errorf("%d shutdowns", w.shut)
+		}
+		c.say(packet.SubmitJob, warning, "", "3")
+		c.want("JOB_CREATED*", "JOB_CREATED*", "WORK_FAIL H:n0:b-2", "ERROR queue_full|too many jobs wait for this function")
+		near.Close()
+	})
+}
+
+func TestSchedule(t *testing.T) {
+	from := time.Date(2026, 12, 1, 14, 5, 30, 0, time.UTC)
+	for fields, want := range map[string]string{
+		",,,,": "2026-12-01 14:06", "5,,,,": "2026-12-01 15:05", "0,6,,,": "2026-12-02 06:00", "30,12,29,2,": "2028-02-29 12:30",
+		"0,0,,,0": "2026-12-06 00:00", "0,0,,,7": "2026-12-06 00:00", "60,,,,": "", "x,,,,": "", ",,31,2,": "",
+	} {
+		at, ok := schedule(from, bytes.Split([]byte(fields), []byte(",")))
+		if ok != (want != "") || ok && at.Format("2006-01-02 15:04") != want {
+			t.Errorf("%s: %v %v, want %s", fields, at, ok, want)
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -751,7 +751,7 @@
 // operator's word stays.
 func (o *Owner) forget(name string) {
 	id := o.ids.id(name)
-	if h := o.hosts[id]; h != nil && !h.offline.Load() {
+	if h := o.hosts[id]; h != nil && h.Worker.State == balance.Gone && !h.offline.Load() { // else it is back already
 		delete(o.hosts, id)
 		delete(o.ever, name)
 		delete(o.ids, id)
--- /dev/null
+++ b/internal/standin/gearman.go
@@ -0,0 +1,314 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Gearman's packets as clients and workers meet them, written from the public specification and not from the daemon's
+// codec: the numbers are those of its tables.
+const (
+	gmCanDo       = 1
+	gmPreSleep    = 4
+	gmNoop        = 6
+	gmSubmit      = 7
+	gmCreated     = 8
+	gmNoJob       = 10
+	gmAssign      = 11
+	gmComplete    = 13
+	gmFail        = 14
+	gmError       = 19
+	gmSetClientID = 22
+	gmGrabUniq    = 30
+	gmAssignUniq  = 31
+	gmAssignAll   = 40
+	gmMostSize    = 64 << 20
+	gmHeader      = 12
+)
+
+// Frame is one packet: its type's number and its body with the NULs in it.
+type Frame struct {
+	Type int
+	Body []byte
+}
+
+// Args takes a body apart into at most n arguments.
+func (f Frame) Args(n int) [][]byte { return bytes.SplitN(f.Body, []byte{0}, n) }
+
+// Wire is one Gearman connection. Its writes are whole packets.
+type Wire struct {
+	net.Conn
+	mu sync.Mutex
+}
+
+// DialGearman connects to a server.
+func DialGearman(address string) (*Wire, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Wire{Conn: c}, nil
+}
+
+// Pack makes a packet with the magic of a client or worker.
+func Pack(kind int, args ...string) []byte {
+	body := []byte{}
+	for i, a := range args {
+		if i > 0 {
+			body = append(body, 0)
+		}
+		body = append(body, a...)
+	}
+	out := make([]byte, gmHeader, gmHeader+len(body))
+	copy(out, "\x00REQ")
+	binary.BigEndian.PutUint32(out[4:], uint32(kind))
+	binary.BigEndian.PutUint32(out[8:], uint32(len(body)))
+	return append(out, body...)
+}
+
+// Send writes a packet.
+func (w *Wire) Send(kind int, args ...string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, err := w.Write(Pack(kind, args...))
+	return err
+}
+
+// Next reads a packet of the server's.
+func (w *Wire) Next() (Frame, error) {
+	var head [gmHeader]byte
+	if _, err := io.ReadFull(w.Conn, head[:]); err != nil {
+		return Frame{}, err
+	}
+	size := binary.BigEndian.Uint32(head[8:])
+	if string(head[:4]) != "\x00RES" || size > gmMostSize {
+		return Frame{}, fmt.Errorf("not a packet of a server's: %x", head)
+	}
+	f := Frame{int(binary.BigEndian.Uint32(head[4:])), make([]byte, size)}
+	_, err := io.ReadFull(w.Conn, f.Body)
+	return f, err
+}
+
+// GearmanWorkerConfig is what a stand-in worker is like.
+type GearmanWorkerConfig struct {
+	Address   string
+	Client    string // id; may be empty
+	Functions []string
+	Job       time.Duration
+	Result    func([]byte) []byte
+	Ledger    *Ledger
+	// ID finds in a job's data by what name the ledger knows it.
+	ID func(data []byte) string
+	// Drop says of each job whether the worker is to drop its connection while it is at it; may be nil.
+	Drop func(id string) bool
+	Grab int // the kind of GRAB_JOB; 0 for GRAB_JOB_UNIQ
+}
+
+// GearmanWorker runs jobs one after another, as the common libraries do: GRAB_JOB, and PRE_SLEEP where there is none. Where
+// its connection ends it connects again until it is closed.
+type GearmanWorker struct {
+	GearmanWorkerConfig
+	mu     sync.Mutex
+	wire   *Wire
+	closed bool
+	done   chan struct{}
+}
+
+// StartGearmanWorker starts a worker.
+func StartGearmanWorker(c GearmanWorkerConfig) *GearmanWorker {
+	if c.Grab == 0 {
+		c.Grab = gmGrabUniq
+	}
+	w := &GearmanWorker{GearmanWorkerConfig: c, done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		for w.connect() {
+			w.work()
+			w.wire.Close()
+		}
+	}()
+	return w
+}
+
+// Close ends the worker, its connection with it.
+func (w *GearmanWorker) Close() {
+	w.mu.Lock()
+	w.closed = true
+	if w.wire != nil {
+		w.wire.Close()
+	}
+	w.mu.Unlock()
+	<-w.done
+}
+
+// connect returns false once the worker is closed.
+func (w *GearmanWorker) connect() bool {
+	for {
+		w.mu.Lock()
+		closed := w.closed
+		w.mu.Unlock()
+		if closed {
+			return false
+		}
+		wire, err := DialGearman(w.Address)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		w.mu.Lock()
+		if w.wire = wire; w.closed {
+			wire.Close()
+		}
+		w.mu.Unlock()
+		return true
+	}
+}
+
+func (w *GearmanWorker) work() {
+	if w.Client != "" {
+		w.wire.Send(gmSetClientID, w.Client)
+	}
+	for _, f := range w.Functions {
+		w.wire.Send(gmCanDo, f)
+	}
+	for w.wire.Send(w.Grab) == nil {
+		f, err := w.wire.Next()
+		if err != nil {
+			return
+		}
+		switch f.Type {
+		case gmNoJob:
+			if w.wire.Send(gmPreSleep) != nil {
+				return
+			}
+			for {
+				if f, err := w.wire.Next(); err != nil {
+					return
+				} else if f.Type == gmNoop {
+					break
+				}
+			}
+		case gmAssign, gmAssignUniq, gmAssignAll:
+			n := map[int]int{gmAssign: 3, gmAssignUniq: 4, gmAssignAll: 5}[f.Type]
+			args := f.Args(n)
+			handle, data := string(args[0]), args[n-1]
+			id := ""
+			if w.ID != nil {
+				id = w.ID(data)
+			}
+			if w.Ledger != nil {
+				w.Ledger.Ran(id, Run{Host: w.Client})
+			}
+			if w.Job > 0 {
+				time.Sleep(w.Job)
+			}
+			if w.Drop != nil && w.Drop(id) {
+				return
+			}
+			result := data
+			if w.Result != nil {
+				result = w.Result(data)
+			}
+			if w.wire.Send(gmComplete, handle, string(result)) != nil {
+				return
+			}
+		}
+	}
+}
+
+// GearmanClient hands in jobs over one connection and waits for them in any order. It is safe for concurrent use.
+type GearmanClient struct {
+	wire    *Wire
+	mu      sync.Mutex
+	asked   []chan Outcome // that wait for JOB_CREATED, in order
+	waiting map[string][]chan Outcome
+	err     error
+}
+
+// Outcome is how a job ended for its client.
+type Outcome struct {
+	Status int // 200 served, 502 failed, 503 not taken, 0 the connection ended
+	Result []byte
+	Handle string
+}
+
+// StartGearmanClient connects a client.
+func StartGearmanClient(address string) (*GearmanClient, error) {
+	wire, err := DialGearman(address)
+	if err != nil {
+		return nil, err
+	}
+	c := &GearmanClient{wire: wire, waiting: map[string][]chan Outcome{}}
+	go c.read()
+	return c, nil
+}
+
+// Close ends the connection; what waits ends with status 0.
+func (c *GearmanClient) Close() { c.wire.Close() }
+
+// Do hands in a job and waits for its end.
+func (c *GearmanClient) Do(function, unique string, data []byte) Outcome {
+	end := make(chan Outcome, 1)
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return Outcome{}
+	}
+	c.asked = append(c.asked, end)
+	_, err := c.wire.Write(Pack(gmSubmit, function, unique, string(data)))
+	c.mu.Unlock()
+	if err != nil {
+		c.wire.Close()
+	}
+	return <-end
+}
+
+func (c *GearmanClient) read() {
+	for {
+		f, err := c.wire.Next()
+		c.mu.Lock()
+		if err != nil {
+			c.err = err
+			for _, end := range c.asked {
+				end <- Outcome{}
+			}
+			for _, all := range c.waiting {
+				for _, end := range all {
+					end <- Outcome{}
+				}
+			}
+			c.mu.Unlock()
+			return
+		}
+		switch f.Type {
+		case gmCreated:
+			handle := string(f.Body)
+			c.waiting[handle] = append(c.waiting[handle], c.asked[0])
+			c.asked = c.asked[1:]
+		case gmError:
+			if len(c.asked) > 0 {
+				c.asked[0] <- Outcome{Status: 503, Result: f.Body}
+				c.asked = c.asked[1:]
+			}
+		case gmComplete, gmFail:
+			args := f.Args(2)
+			handle := string(args[0])
+			out := Outcome{Status: 502, Handle: handle}
+			if f.Type == gmComplete {
+				out.Status, out.Result = 200, args[1]
+			}
+			if all := c.waiting[handle]; len(all) > 0 {
+				all[0] <- out
+				if c.waiting[handle] = all[1:]; len(all) == 1 {
+					delete(c.waiting, handle)
+				}
+			}
+		}
+		c.mu.Unlock()
+	}
+}
