Add liftlab demo and liftlab gearman

A newcomer could start the daemon but had nobody to talk to, and what the Gearman side keeps and costs was not measured.

demo starts hosts, workers, discovery, load and the daemon on loopback and tells each second what happens. gearman mixes clients, hosts and workers that drop and leave, and counts every run and answer; then it measures each way by itself, and many workers with many queued jobs. Found by it: connections that the operators ask for are not bounded by the share of memory for clients.

--- a/cmd/liftgauge/pulls.go
+++ b/cmd/liftgauge/pulls.go
@@ -133,15 +133,18 @@
 	if n.pulls == nil {
 		return northConns, southConns, 0
 	}
-	pullConns = northConns / 2
-	if want := n.pulls.own.Gearman.Limits.Connections; want > 0 {
-		// What was asked for, as far as a few are left for clients and for call-backs.
-		all := northConns + southConns
-		pullConns = min(want, max(all-8, 2))
-		southConns = max(min(southConns, (all-pullConns)/2), 1)
-		northConns = all - southConns
+	want := n.pulls.own.Gearman.Limits.Connections
+	if want == 0 {
+		pullConns = northConns / 2
+		return max(northConns-pullConns, 1), southConns, pullConns
 	}
-	return max(northConns-pullConns, 1), southConns, pullConns
+	// What was asked for, as far as a few are left for clients and for call-backs. It is the operators' word, so the share of
+	// memory that is for connections does not bound it: one that waits costs about half of a client's under way.
+	all := sockets - ownRoom(n.c)
+	pullConns = min(want, max(all-8, 2))
+	southConns = max(min(southConns, (all-pullConns)/2), 1)
+	northConns = min(all-pullConns-southConns, max(budget.Share(memory).Connections-pullConns/2, 16))
+	return max(northConns, 1), southConns, pullConns
 }
 
 // sides are all that clients and workers connect to, as a planned end meets them.
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -59,13 +59,19 @@
 // askers is how many questions old and new process of an upgrade may have open each way.
 func askers(c *config.Config) int { return min(max(c.Sockets/64, 1), 4) }
 
-// room shares out so many descriptors. A client holds its connection for as long as its job runs, a host only until it has
-// taken the job.
-func room(c *config.Config, sockets int, memory int64) (northConns, southConns int) {
+// ownRoom is how many descriptors are the program's own.
+func ownRoom(c *config.Config) int {
 	own := ownSockets + 2*askers(c) + 2 // and the socket and the link
 	if n := callers(c); n > 0 {
 		own += n + 2 // the listener, and one caller who is to be let in or turned away
 	}
+	return own
+}
+
+// room shares out so many descriptors. A client holds its connection for as long as its job runs, a host only until it has
+// taken the job.
+func room(c *config.Config, sockets int, memory int64) (northConns, southConns int) {
+	own := ownRoom(c)
 	southConns = max((sockets-own)/4, 1)
 	return min(max(sockets-own-southConns, 1), budget.Share(memory).Connections), southConns
 }
--- a/cmd/liftlab/main.go
+++ b/cmd/liftlab/main.go
@@ -34,7 +34,7 @@
 		SilenceErrors:     true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	cmd.AddCommand(overheadCommand(), proxyCommand())
+	cmd.AddCommand(demoCommand(), overheadCommand(), gearmanCommand(), proxyCommand())
 	return cmd
 }
 
@@ -57,6 +57,29 @@
 	return nil
 }
 
+func demoCommand() *cobra.Command {
+	c := lab.DemoConfig{}
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Start hosts, workers, discovery, load and the daemon on loopback, and watch",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if c.Hosts < 1 || c.Workers < 0 || c.Clients < 1 {
+				return fmt.Errorf("want a host and a client at least")
+			}
+			c.Out, c.Stderr, c.Live = cmd.OutOrStdout(), cmd.ErrOrStderr(), lab.Terminal(os.Stdout)
+			return lab.Demo(cmd.Context(), c)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&c.Daemon, "daemon", beside(), "the daemon's binary")
+	f.IntVar(&c.Hosts, "hosts", 8, "HTTP hosts")
+	f.IntVar(&c.Workers, "workers", 8, "Gearman workers")
+	f.IntVar(&c.Clients, "clients", 8, "clients of each kind")
+	f.DurationVar(&c.For, "for", 0, "how long; 0 until Ctrl-C")
+	return cmd
+}
+
 func overheadCommand() *cobra.Command {
 	c := lab.OverheadConfig{}
 	cmd := &cobra.Command{
@@ -100,6 +123,54 @@
 	return cmd
 }
 
+func gearmanCommand() *cobra.Command {
+	c := lab.GearmanConfig{}
+	cmd := &cobra.Command{
+		Use:   "gearman",
+		Short: "Mix Gearman and HTTP clients, workers and hosts that fail, count runs and answers, and measure",
+		Long: "First clients of both kinds hand in jobs to hosts and workers, while workers drop their connections and clients\n" +
+			"leave; every run and every answer is counted. Then each of the four ways from client to host is measured by\n" +
+			"itself, and at last many idle workers with many queued jobs. The last line is JSON.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c.Stderr = cmd.ErrOrStderr()
+			if c.Jobs < 0 || c.Each < 1 || c.Clients < 2 || c.Workers < 1 || c.Hosts < 1 {
+				return fmt.Errorf("want two clients, a worker, a host and a job at least")
+			}
+			report, err := lab.Gearman(cmd.Context(), c)
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%d jobs, %d served, %d failed, %d left by their clients; %d drops; %d duplicates, %d lost, %d answered twice\n", report.Jobs,
+				report.Served, report.Failed, report.Left, report.Drops, report.Duplicates, report.Lost, report.Twice)
+			for _, p := range report.Pairs {
+				fmt.Fprintf(out, "%-18s %7.0f jobs/s %8.1f us/job  p50 %6.2f ms  p99 %6.2f ms  %d of %d served\n", p.Name, p.Rate, p.CPUMicros, p.P50, p.P99,
+					p.Served, p.Jobs)
+			}
+			if l := report.Large; l != nil {
+				fmt.Fprintf(out, "%d workers and %d queued jobs (%d taken): peak %.1f MB of %d, %.1f MB with the workers alone\n", l.Workers, l.Queued,
+					l.Accepted, l.PeakMB, c.Memory, l.IdleMB)
+			}
+			return last(cmd, report)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&c.Daemon, "daemon", beside(), "the daemon's binary")
+	f.Uint64Var(&c.Seed, "seed", 1, "of clients, drops and leaves")
+	f.IntVar(&c.Jobs, "jobs", 20000, "jobs of the mixed part")
+	f.IntVar(&c.Each, "each", 20000, "jobs of each way in the measured part")
+	f.IntVar(&c.Clients, "clients", 32, "clients; in the mixed part half of them speak Gearman")
+	f.IntVar(&c.Workers, "workers", 32, "Gearman workers")
+	f.IntVar(&c.Hosts, "hosts", 16, "HTTP hosts")
+	f.Float64Var(&c.Drops, "drops", 0.01, "share of runs at which a worker drops its connection")
+	f.Float64Var(&c.Leaves, "leaves", 0.02, "share of Gearman clients' jobs whose client leaves early")
+	f.IntVar(&c.Memory, "memory", 64, "the daemon's limit of memory, in MB")
+	f.IntVar(&c.Idle, "idle", 1000, "workers of the large part; 0 leaves it out")
+	f.IntVar(&c.Queued, "queued", 10000, "queued jobs of 1 KiB of the large part")
+	return cmd
+}
+
 func proxyCommand() *cobra.Command {
 	var listen string
 	var hosts []string
--- a/internal/standin/gearman.go
+++ b/internal/standin/gearman.go
@@ -202,7 +202,7 @@
 				id = w.ID(data)
 			}
 			if w.Ledger != nil {
-				w.Ledger.Ran(id, Run{Host: w.Client})
+				w.Ledger.Ran(id, Run{Host: w.Client, Cell: -1})
 			}
 			if w.Job > 0 {
 				time.Sleep(w.Job)
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -24,7 +24,8 @@
 	Queue  int           // jobs that may wait for a slot; one more is turned away unseen
 	Job    time.Duration // how long a job runs
 	Result func(body []byte) []byte
-	Starts bool // it tells of starts
+	ID     func(body []byte) string // finds the ledger's name of a job; nil for its id
+	Starts bool                     // it tells of starts
 	Ledger *Ledger
 	// Dispatcher is where clients connect and where call-backs go.
 	Dispatcher string
@@ -144,7 +145,11 @@
 	}
 	defer func() { <-h.slots }()
 	if h.Ledger != nil {
-		h.Ledger.Ran(id, Run{h.Name, h.Cell})
+		name := id
+		if h.ID != nil {
+			name = h.ID(body)
+		}
+		h.Ledger.Ran(name, Run{h.Name, h.Cell})
 	}
 	if h.Starts {
 		h.jobs.Go(func() { h.tell(id, "started", nil) })
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -8,8 +8,8 @@
 
 // Run is one time that a job was begun somewhere.
 type Run struct {
-	Host string
-	Cell int
+	Host string // or a worker's client id
+	Cell int    // -1: that of the client id
 }
 
 // Ledger notes which jobs ran where. It is safe for concurrent use.
--- /dev/null
+++ b/lab/demo.go
@@ -0,0 +1,151 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"liftgauge/internal/standin"
+)
+
+// DemoConfig is what liftlab demo shows.
+type DemoConfig struct {
+	Daemon  string
+	Hosts   int
+	Workers int
+	Clients int
+	For     time.Duration // 0: until the context ends
+	Out     io.Writer
+	Stderr  io.Writer
+	Live    bool // the line is written over itself
+}
+
+// Demo starts hosts, workers, discovery, some load and the daemon on loopback and tells each second what happens. Now and
+// then a host drains, one vanishes and comes back, or a worker drops at its job.
+func Demo(ctx context.Context, c DemoConfig) error {
+	if c.For > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, c.For)
+		defer stop()
+	}
+	g := GearmanConfig{Daemon: c.Daemon, Workers: c.Workers, Hosts: c.Hosts, Memory: 64, Stderr: c.Stderr}
+	var drop atomic.Bool
+	w, err := g.world(ctx, mixedRoutes, 20*time.Millisecond, func(string) bool { return drop.Swap(false) })
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	fmt.Fprintf(c.Out, "%d hosts, %d Gearman workers, discovery and liftgauge (process %d) run on loopback. Try:\n", c.Hosts, c.Workers, w.p.cmd.Process.Pid)
+	fmt.Fprintf(c.Out, "  curl -i http://%s/gauge-reading -H 'Req-Id: mine-1' -H 'Idempotency-Key: k1' -d 'level 3'\n", w.Listen)
+	fmt.Fprintf(c.Out, "  printf 'status\\nworkers\\n' | nc -q 1 %s\n", splitAddress(w.address))
+	fmt.Fprintln(c.Out, "Ctrl-C ends it.")
+
+	load := StartLoad(ctx, LoadConfig{Address: w.Listen, Clients: c.Clients, Body: standin.Filled(200)(nil), Patience: 5 * time.Second,
+		Pause: 30 * time.Millisecond, Seed: 1, Done: func(id string, _ int) { w.Ledger.Forget(id) }})
+	defer load.Stop()
+	var served, other atomic.Int64
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	for i := range c.Clients {
+		rng := rand.New(rand.NewPCG(2, uint64(i)))
+		clients.Go(func() {
+			client, err := standin.StartGearmanClient(w.address)
+			if err != nil {
+				return
+			}
+			defer client.Close()
+			for ctx.Err() == nil {
+				id := fmt.Sprintf("%016x", rng.Uint64())
+				if client.Do(classNames[rng.IntN(2)], id, []byte(id+" level")).Status == 200 {
+					served.Add(1)
+				} else {
+					other.Add(1)
+				}
+				w.Ledger.Forget(id)
+				select {
+				case <-time.After(30 * time.Millisecond):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	ticks := time.NewTicker(time.Second)
+	defer ticks.Stop()
+	happens, gone := "", -1
+	for second := 1; ; second++ {
+		select {
+		case <-ticks.C:
+		case <-w.p.Ended():
+			return fmt.Errorf("the daemon ended: %v", w.p.err)
+		case <-ctx.Done():
+			fmt.Fprintln(c.Out, "\nending")
+			load.Stop()
+			clients.Wait()
+			return w.p.Stop()
+		}
+		t := load.Take()
+		u, err := w.p.Usage()
+		if err != nil {
+			return err
+		}
+		switch n := len(w.Hosts); {
+		case second%12 == 3:
+			h := w.Hosts[second%n]
+			m := h.Member()
+			m.Phase = "DRAINING"
+			w.Discovery.Set(m)
+			h.Drain(true)
+			happens = h.Name + " drains"
+		case second%12 == 6:
+			h := w.Hosts[(second-3)%n]
+			h.Drain(false)
+			w.Discovery.Set(h.Member())
+			happens = h.Name + " serves again"
+		case second%12 == 8:
+			drop.Store(true)
+			happens = "a worker drops at its job"
+		case second%12 == 10 && n > 1:
+			gone = second % n
+			w.Hosts[gone].Close()
+			happens = w.Hosts[gone].Name + " dies"
+		case second%12 == 0 && gone >= 0:
+			old := w.Hosts[gone]
+			h, err := standin.StartHost(old.HostConfig)
+			if err != nil {
+				return err
+			}
+			w.Hosts[gone] = h
+			m := h.Member()
+			m.UpSince = time.Now().UnixMilli()
+			w.Discovery.Set(m)
+			happens, gone = h.Name+" is back, cold", -1
+		}
+		line := fmt.Sprintf("%4d s  HTTP %4d served %2d not, p99 %5.1f ms   Gearman %4d served %2d not   %4.1f MB  %s", second, t.Served,
+			t.Refused+t.Failed+t.Broken, t.Millis(99), served.Swap(0), other.Swap(0), float64(u.Resident)/(1<<20), happens)
+		if c.Live {
+			fmt.Fprintf(c.Out, "\r\x1b[K%s", line)
+		} else {
+			fmt.Fprintln(c.Out, line)
+		}
+	}
+}
+
+func splitAddress(address string) string {
+	for i := len(address) - 1; i >= 0; i-- {
+		if address[i] == ':' {
+			return address[:i] + " " + address[i+1:]
+		}
+	}
+	return address
+}
+
+// Terminal says whether a file is one.
+func Terminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/lab/gearman.go
@@ -0,0 +1,457 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"liftgauge/internal/standin"
+)
+
+// GearmanConfig is what liftlab gearman plays.
+type GearmanConfig struct {
+	Daemon  string
+	Seed    uint64
+	Jobs    int // of the mixed part
+	Each    int // jobs of each pair in the measured part
+	Clients int
+	Workers int
+	Hosts   int
+	Drops   float64 // share of runs at which a worker drops its connection
+	Leaves  float64 // share of Gearman clients' jobs whose connection is closed early
+	Memory  int
+	Idle    int // workers of the large part; 0 leaves it out
+	Queued  int // jobs of it
+	Stderr  io.Writer
+}
+
+// Pair is one of the four ways from a client to where its job runs.
+type Pair struct {
+	Name      string  `json:"pair"`
+	Jobs      int64   `json:"jobs"`
+	Served    int64   `json:"served"`
+	Rate      float64 `json:"jobs_per_s"`
+	CPUMicros float64 `json:"cpu_us_per_job"`
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+}
+
+// GearmanReport is the last line of liftlab gearman.
+type GearmanReport struct {
+	Seed       uint64 `json:"seed"`
+	Jobs       int64  `json:"jobs"`
+	Answers    int64  `json:"answers"`
+	Served     int64  `json:"served"`
+	Failed     int64  `json:"failed"`
+	Left       int64  `json:"left"`       // by their client before an answer
+	Drops      int64  `json:"drops"`      // workers that dropped at a job
+	Duplicates int64  `json:"duplicates"` // runs of a warning beyond one, or of a reading outside its cell
+	Lost       int64  `json:"lost"`       // jobs without an answer whose client waited
+	Twice      int64  `json:"two_answers"`
+	Pairs      []Pair `json:"pairs"`
+	Large      *Large `json:"large,omitempty"`
+	Memory     int    `json:"memory_mb"`
+}
+
+// Large is many workers and many queued jobs at once.
+type Large struct {
+	Workers  int     `json:"workers"`
+	Queued   int     `json:"queued"`
+	PeakMB   float64 `json:"peak_resident_mb"`
+	IdleMB   float64 `json:"workers_only_mb"`
+	Within   bool    `json:"within_memory"`
+	Accepted int     `json:"accepted"`
+}
+
+// settingsFile writes a settings file for a run; it is removed with the folder.
+func settingsFile(dir, listen, more string) (string, error) {
+	path := filepath.Join(dir, "liftgauge.cue")
+	return path, os.WriteFile(path, []byte("gearman: {\n\tlisten: \""+listen+"\"\n"+more+"}\n"), 0o600)
+}
+
+// the routes that keep the four pairs apart: classes and functions whose names say where they run.
+const pairRoutes = `	functions: {
+		"gauge-reading": pools: ["workers"]
+		"send-warning": pools: ["hosts"]
+	}
+	classes: {
+		"gauge-reading": pools: ["workers"]
+		"send-warning": pools: ["hosts"]
+	}
+`
+
+// mixedRoutes let every job run anywhere.
+const mixedRoutes = `	classes: {
+		"gauge-reading": pools: ["hosts", "workers"]
+		"send-warning": pools: ["hosts", "workers"]
+	}
+`
+
+var classNames = [...]string{"gauge-reading", "send-warning"}
+
+// gearmanWorld is a daemon with both kinds of hosts and clients.
+type gearmanWorld struct {
+	*World
+	p       *Process
+	address string
+	workers []*standin.GearmanWorker
+	dir     string
+}
+
+func (w *gearmanWorld) close() {
+	for _, x := range w.workers {
+		x.Close()
+	}
+	if w.p != nil {
+		w.p.Kill()
+	}
+	w.World.Close()
+	os.RemoveAll(w.dir)
+}
+
+// head is how a job's data begin: by what name the ledger knows it.
+func head(data []byte) string {
+	id, _, _ := bytes.Cut(data, []byte{' '})
+	return string(id)
+}
+
+func (c GearmanConfig) world(ctx context.Context, routes string, job time.Duration, drop func(string) bool) (*gearmanWorld, error) {
+	world, err := StartWorld(WorldConfig{Hosts: c.Hosts, Slots: 4, Queue: 8, Job: job, Result: standin.Filled(16), ID: head})
+	if err != nil {
+		return nil, err
+	}
+	w := &gearmanWorld{World: world}
+	if w.dir, err = os.MkdirTemp("", "liftlab-"); err == nil {
+		w.address, err = freeAddress()
+	}
+	var file string
+	if err == nil {
+		file, err = settingsFile(w.dir, w.address, routes)
+	}
+	if err == nil {
+		w.p, err = world.Daemon(ctx, DaemonConfig{Binary: c.Daemon, MemoryMB: c.Memory, Sockets: 1024, Patience: 5 * time.Second, Settings: file,
+			Procs: 1, Stderr: c.Stderr, Args: []string{"--log-level", "error"}})
+	}
+	if err != nil {
+		w.close()
+		return nil, err
+	}
+	for i := range c.Workers {
+		w.workers = append(w.workers, standin.StartGearmanWorker(standin.GearmanWorkerConfig{Address: w.address, Client: fmt.Sprint("station-", i/2),
+			Functions: classNames[:], Job: job, Result: standin.Filled(16), Ledger: &world.Ledger, ID: head, Drop: drop}))
+	}
+	time.Sleep(300 * time.Millisecond) // until they are listed; nothing is measured yet
+	return w, nil
+}
+
+// post hands in a job over HTTP.
+func post(client *http.Client, address, class, id string, body []byte, patience time.Duration) int {
+	r, err := http.NewRequest("POST", "http://"+address+"/"+class, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	r.Header.Set("Req-Id", id)
+	r.Header.Set("Req-Kind", class)
+	r.Header.Set("Req-Deadline-Ms", strconv.Itoa(int(patience/time.Millisecond)))
+	if class == classNames[0] {
+		r.Header.Set("Idempotency-Key", id+id)
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return 0
+	}
+	return answer.StatusCode
+}
+
+// Gearman plays the mixed part, counts runs and answers of each job, and then measures the four pairs and the large part.
+func Gearman(ctx context.Context, c GearmanConfig) (*GearmanReport, error) {
+	report := &GearmanReport{Seed: c.Seed, Memory: c.Memory}
+	if err := c.mixed(ctx, report); err != nil {
+		return nil, err
+	}
+	if err := c.pairs(ctx, report); err != nil {
+		return nil, err
+	}
+	if c.Idle > 0 {
+		if err := c.large(ctx, report); err != nil {
+			return nil, err
+		}
+	}
+	return report, nil
+}
+
+// mixed has clients of both kinds, some of whom leave, and hosts and workers, some of whom drop, all at once.
+func (c GearmanConfig) mixed(ctx context.Context, report *GearmanReport) error {
+	var dropping sync.Mutex
+	rng := rand.New(rand.NewPCG(c.Seed, 99))
+	var drops atomic.Int64
+	w, err := c.world(ctx, mixedRoutes, 5*time.Millisecond, func(string) bool {
+		dropping.Lock()
+		defer dropping.Unlock()
+		if rng.Float64() < c.Drops {
+			drops.Add(1)
+			return true
+		}
+		return false
+	})
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	type result struct {
+		id, class string
+		answers   int
+		status    int
+		left      bool
+	}
+	results := make([]result, c.Jobs)
+	var next atomic.Int64
+	var clients sync.WaitGroup
+	transport := &http.Transport{MaxIdleConnsPerHost: c.Clients}
+	defer transport.CloseIdleConnections()
+	for i := range c.Clients {
+		rng := rand.New(rand.NewPCG(c.Seed, uint64(i)))
+		clients.Go(func() {
+			var g *standin.GearmanClient
+			defer func() {
+				if g != nil {
+					g.Close()
+				}
+			}()
+			for ctx.Err() == nil {
+				n := int(next.Add(1) - 1)
+				if n >= c.Jobs {
+					return
+				}
+				id := fmt.Sprintf("%016x", c.Seed<<32|uint64(n))
+				class := classNames[rng.IntN(2)]
+				data := append([]byte(id+" "), make([]byte, rng.IntN(2000))...)
+				results[n].id, results[n].class = id, class
+				if i%2 == 0 {
+					if results[n].status = post(&http.Client{Transport: transport}, w.Listen, class, id, data, 5*time.Second); results[n].status != 0 {
+						results[n].answers++
+					}
+					continue
+				}
+				if g == nil {
+					if g, err = standin.StartGearmanClient(w.address); err != nil {
+						return
+					}
+				}
+				if results[n].left = rng.Float64() < c.Leaves; results[n].left {
+					g := g
+					time.AfterFunc(time.Duration(rng.IntN(8))*time.Millisecond, g.Close)
+				}
+				out := g.Do(class, id, data)
+				if results[n].status = out.Status; out.Status != 0 {
+					results[n].answers++
+				}
+				if results[n].left {
+					g = nil
+				}
+			}
+		})
+	}
+	clients.Wait()
+	time.Sleep(500 * time.Millisecond) // what still runs for nobody
+	report.Drops = drops.Load()
+	for _, r := range results {
+		report.Jobs++
+		report.Answers += int64(r.answers)
+		switch {
+		case r.status == 200:
+			report.Served++
+		case r.status != 0:
+			report.Failed++
+		case r.left:
+			report.Left++
+		default:
+			report.Lost++
+		}
+		if r.answers > 1 {
+			report.Twice++
+		}
+		runs := w.Ledger.Runs(r.id)
+		if r.class == classNames[1] {
+			report.Duplicates += int64(max(0, len(runs)-1))
+			continue
+		}
+		for _, run := range runs[min(1, len(runs)):] {
+			if run != runs[0] && (run.Cell != runs[0].Cell || run.Cell < 0 && run.Host != runs[0].Host) {
+				report.Duplicates++
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// pairs measures each way by itself in one daemon, with as many clients each.
+func (c GearmanConfig) pairs(ctx context.Context, report *GearmanReport) error {
+	w, err := c.world(ctx, pairRoutes, time.Millisecond, nil)
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	transport := &http.Transport{MaxIdleConnsPerHost: c.Clients}
+	defer transport.CloseIdleConnections()
+	data := standin.Filled(200)(nil)
+	for _, pair := range []struct{ name, front, class string }{
+		{"http->http", "http", "send-warning"}, {"http->gearman", "http", "gauge-reading"},
+		{"gearman->http", "gearman", "send-warning"}, {"gearman->gearman", "gearman", "gauge-reading"},
+	} {
+		m := Pair{Name: pair.name}
+		latency := newHistogram()
+		var mu sync.Mutex
+		run := func(jobs int) (served int64) {
+			var next, done atomic.Int64
+			var clients sync.WaitGroup
+			for i := range c.Clients {
+				clients.Go(func() {
+					var g *standin.GearmanClient
+					if pair.front == "gearman" {
+						var err error
+						if g, err = standin.StartGearmanClient(w.address); err != nil {
+							return
+						}
+						defer g.Close()
+					}
+					client := &http.Client{Transport: transport}
+					for ctx.Err() == nil {
+						n := next.Add(1)
+						if int(n) > jobs {
+							return
+						}
+						id := fmt.Sprintf("%08x%08x", i, rand.Uint32())
+						body := append([]byte(id+" "), data...)
+						start, status := time.Now(), 0
+						if g != nil {
+							status = g.Do(pair.class, "", body).Status
+						} else {
+							status = post(client, w.Listen, pair.class, id, body, 5*time.Second)
+						}
+						if status == 200 {
+							done.Add(1)
+							mu.Lock()
+							latency.RecordValue(max(1, time.Since(start).Microseconds()))
+							mu.Unlock()
+						}
+						w.Ledger.Forget(id)
+					}
+				})
+			}
+			clients.Wait()
+			return done.Load()
+		}
+		run(c.Each / 4) // until it knows the hosts
+		latency.Reset()
+		before, err := w.p.Usage()
+		if err != nil {
+			return err
+		}
+		start := time.Now()
+		m.Served = run(c.Each)
+		took := time.Since(start)
+		after, err := w.p.Usage()
+		if err != nil {
+			return err
+		}
+		m.Jobs = int64(c.Each)
+		m.Rate = math.Round(float64(m.Served) / took.Seconds())
+		m.CPUMicros = math.Round(float64((after.CPU-before.CPU).Microseconds())/float64(max(m.Jobs, 1))*10) / 10
+		m.P50, m.P99 = float64(latency.ValueAtPercentile(50))/1000, float64(latency.ValueAtPercentile(99))/1000
+		report.Pairs = append(report.Pairs, m)
+	}
+	return ctx.Err()
+}
+
+// large connects many workers that sleep and queues many background jobs that none of them runs.
+func (c GearmanConfig) large(ctx context.Context, report *GearmanReport) error {
+	big := c
+	big.Workers, big.Hosts = 0, 1
+	world, err := StartWorld(WorldConfig{Hosts: 1, Slots: 1, Job: time.Millisecond})
+	if err != nil {
+		return err
+	}
+	w := &gearmanWorld{World: world}
+	defer w.close()
+	if w.dir, err = os.MkdirTemp("", "liftlab-"); err != nil {
+		return err
+	}
+	if w.address, err = freeAddress(); err != nil {
+		return err
+	}
+	routes := "\tfunctions: {\n\t\t\"gauge-reading\": pools: [\"workers\"]\n\t\t\"send-warning\": pools: [\"workers\"]\n\t}\n" +
+		fmt.Sprintf("\tlimits: {connections: %d, openJobs: %d, jobsPerConnection: %d}\n", c.Idle+8, c.Queued, c.Queued)
+	file, err := settingsFile(w.dir, w.address, routes)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(file, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(f, "sockets: %d\n", c.Idle+128)
+	f.Close()
+	if w.p, err = world.Daemon(ctx, DaemonConfig{Binary: c.Daemon, MemoryMB: c.Memory, Sockets: c.Idle + 128, Patience: 5 * time.Second,
+		Settings: file, Procs: 1, Stderr: c.Stderr, Args: []string{"--log-level", "info"}}); err != nil {
+		return err
+	}
+	for i := range c.Idle {
+		w.workers = append(w.workers, standin.StartGearmanWorker(standin.GearmanWorkerConfig{Address: w.address,
+			Client: fmt.Sprint("station-", i), Functions: classNames[:1]}))
+	}
+	time.Sleep(2 * time.Second)
+	idle, err := w.p.Usage()
+	if err != nil {
+		return err
+	}
+	client, err := standin.DialGearman(w.address)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	accepted := make(chan int)
+	go func() { // every submission has one answer
+		n := 0
+		for range c.Queued {
+			f, err := client.Next()
+			if err != nil {
+				break
+			}
+			if f.Type == 8 {
+				n++
+			}
+		}
+		accepted <- n
+	}()
+	data := string(standin.Filled(1024)(nil))
+	for range c.Queued { // nobody runs warnings here: all wait
+		if err := client.Send(18, "send-warning", "", data); err != nil {
+			return fmt.Errorf("submission: %w", err)
+		}
+	}
+	large := &Large{Workers: c.Idle, Queued: c.Queued, Accepted: <-accepted, IdleMB: math.Round(float64(idle.Resident)/(1<<20)*10) / 10}
+	time.Sleep(2 * time.Second)
+	after, err := w.p.Usage()
+	if err != nil {
+		return err
+	}
+	large.PeakMB = math.Round(float64(after.Peak)/(1<<20)*10) / 10
+	large.Within = after.Peak <= int64(c.Memory)<<20
+	report.Large = large
+	return nil
+}
