--- a/cmd/liftgauge/main.go
+++ b/cmd/liftgauge/main.go
@@ -105,7 +105,7 @@
 	}
 	table, err := route.New(c.Classes, c.Settings.Classes, s.Gearman)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%s: %w", filepath.Base(cmp.Or(o.settings, os.Getenv("LB_SETTINGS"))), err)
 	}
 	return &own{s, table}, nil
 }
--- a/internal/settings/cuefile/cuefile.go
+++ b/internal/settings/cuefile/cuefile.go
@@ -65,6 +65,9 @@
 			}
 		}
 		format, args := e.Msg()
+		if strings.Contains(format, "errors in empty disjunction") {
+			continue // what was wrong with each choice follows
+		}
 		field := strings.Join(e.Path(), ".")
 		field = strings.TrimPrefix(strings.TrimPrefix(field, "#Settings"), ".")
 		line := filepath.Base(name)
