--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -22,7 +22,7 @@
 const (
 	Connection = 14 << 10 // a client's connection with its buffers and goroutines
 	Message    = 12 << 10 // a message with its head and an attempt under way, each with a goroutine
-	Job        = 1 << 10  // a job that needs none
+	Job        = 3 << 8   // a job that needs none
 	Call       = 2 << 10  // a call-back
 )
 
--- /dev/null
+++ b/sim/dispatcher.go
@@ -0,0 +1,378 @@
+package sim
+
+import (
+	"time"
+
+	"liftgauge/balance"
+)
+
+// job is one try of a client's at a dispatcher.
+type job struct {
+	id       balance.JobID
+	arrival  int
+	class    int
+	work     float64
+	sent     time.Duration // by the client
+	end      time.Duration // of the client's patience
+	tries    int           // of the client before this one
+	attempts []*attempt
+	answered bool
+	mayHave  bool // an attempt may have run
+}
+
+// dispatcher is one with its policy. It is the policy's Actions; what comes of a call happens later, never inside it.
+type dispatcher struct {
+	r       *run
+	number  int
+	station int
+	policy  Policy
+	dead    bool
+	life    int
+	jobs    map[balance.JobID]*job // never walked: its order is not ours
+	ids     []balance.JobID        // open jobs in the order in which they came, and ended ones until they are swept
+	last    balance.JobID
+	idle    []int // connections to each box that stand idle
+	watches bool
+	kept    []balance.Worker // the list as it was last told, for a restart
+}
+
+const (
+	grace        = 4 * time.Millisecond
+	probeWithin  = 500 * time.Millisecond
+	cancelWithin = time.Second
+)
+
+func newDispatcher(r *run, n, station int) *dispatcher {
+	return &dispatcher{r: r, number: n, station: station}
+}
+
+// start makes a policy that knows the list, which at the beginning is as it is.
+func (d *dispatcher) start(first bool) {
+	r := d.r
+	s := r.Settings
+	s.Classes = nil
+	for _, c := range r.Classes {
+		s.Classes = append(s.Classes, c.Class)
+	}
+	s.Dispatchers, s.Number, s.Zone = len(r.World.Dispatchers), d.number, d.station
+	s.TellsStart, s.TellsWritten, s.MustAsk, s.CanCancel, s.CanProbe = true, true, true, true, true
+	s.RoughWeights = true
+	s.MaxAttempts = max(r.Attempts, 1)
+	s.ConnectTimeout, s.DrainGrace, s.StartCapacity, s.WarmWithin = r.Connect, r.Rules.DrainGrace, r.Rules.StartCapacity, r.Rules.WarmWithin
+	s.OverloadFactor, s.FallTime = r.Rules.OverloadFactor, r.Rules.FallTime
+	s.FreeSlots, s.FreeMemory, s.Queue = -1, -1, -1
+	if s.AskWithin == 0 {
+		s.AskWithin = 10 * time.Second
+	}
+	s.Tick = max(s.Tick, time.Millisecond)
+	make1 := r.Policy
+	if make1 == nil {
+		make1 = Module
+	}
+	d.jobs, d.ids, d.idle = map[balance.JobID]*job{}, nil, make([]int, len(r.boxes))
+	d.watches, d.dead = false, false
+	d.life++
+	d.policy = make1(s, r.seed<<16|uint64(d.number)<<8|uint64(d.life), d)
+	if first {
+		for _, b := range r.boxes {
+			d.kept = append(d.kept, b.listed(balance.Ready))
+		}
+	}
+	d.policy.Start(d.clock())
+	d.policy.List(d.clock(), balance.ListCached, d.kept)
+}
+
+func (d *dispatcher) clock() time.Duration { return epoch + d.r.now }
+
+// told is a change of the list, for those who watch.
+func (d *dispatcher) told(w balance.Worker) {
+	for i := range d.kept {
+		if d.kept[i].ID == w.ID {
+			d.kept[i] = w
+		}
+	}
+	if d.dead || !d.watches {
+		return
+	}
+	if w.State == balance.Gone || w.Up > 0 {
+		d.idle[w.ID-1] = 0
+	}
+	d.policy.List(d.clock(), balance.ListChanges, []balance.Worker{w})
+}
+
+// take is a client's job whose last byte has come.
+func (d *dispatcher) take(j *job) {
+	if d.dead {
+		d.r.ended(j, Lost, 0)
+		return
+	}
+	d.last++
+	j.id = d.last
+	d.jobs[j.id] = j
+	d.ids = append(d.ids, j.id)
+	a := &d.r.Arrivals[j.arrival]
+	life := d.life
+	d.r.at(j.end+grace, func() { d.due(life, j) })
+	d.policy.Job(d.clock(), balance.Job{ID: j.id, Class: j.class, Tenant: a.Tenant, Left: j.end - d.r.now, Hint: a.Hint})
+}
+
+// due is the end of a client's patience.
+func (d *dispatcher) due(life int, j *job) {
+	if d.dead || d.life != life || d.jobs[j.id] != j {
+		return
+	}
+	for _, a := range j.attempts {
+		if !a.done {
+			d.abandon(a)
+			d.outcome(a, balance.TimedOut)
+		}
+	}
+	if !j.answered {
+		d.answer(j, Failed, 0)
+		d.policy.Left(d.clock(), j.id)
+	}
+	d.settle(j)
+}
+
+// answer gives the client the final answer.
+func (d *dispatcher) answer(j *job, end End, wait time.Duration) {
+	if j.answered {
+		return
+	}
+	j.answered = true
+	r, station := d.r, d.r.Arrivals[j.arrival].Station
+	way, ok := r.way(d.station, station)
+	if !ok { // the client hears nothing: its patience ends
+		r.at(max(j.end, r.now), func() { r.ended(j, Lost, 0) })
+		return
+	}
+	r.after(way, func() { r.ended(j, end, wait) })
+}
+
+func (d *dispatcher) settle(j *job) {
+	if !j.answered {
+		return
+	}
+	for _, a := range j.attempts {
+		if !a.done {
+			return
+		}
+	}
+	delete(d.jobs, j.id)
+}
+
+// outcome is the first end of an attempt that its dispatcher hears of.
+func (d *dispatcher) outcome(a *attempt, status balance.Status) {
+	if a.done || d.dead {
+		return
+	}
+	a.done = true
+	j := a.job
+	if !status.NotRun() {
+		j.mayHave = true
+	}
+	switch status {
+	case balance.OK, balance.Full, balance.Errored, balance.Cancelled:
+		d.idle[a.box.id-1]++
+	}
+	if status == balance.OK {
+		d.answer(j, Served, 0)
+	}
+	d.policy.Outcome(d.clock(), balance.Outcome{Job: j.id, Attempt: a.n, Worker: a.box.id, Status: status, Closed: j.answered})
+	d.settle(j)
+}
+
+// abandon tells a box that nobody waits for an attempt any more.
+func (d *dispatcher) abandon(a *attempt) {
+	a.gone = true
+	if way, ok := d.r.way(d.station, a.box.Station); ok && !a.box.silent {
+		life := a.box.life
+		d.r.after(way, func() {
+			if a.box.life == life {
+				a.box.remove(a)
+			}
+		})
+	}
+}
+
+// Send implements balance.Actions.
+func (d *dispatcher) Send(id balance.JobID, worker balance.WorkerID, _ time.Duration) {
+	r, j := d.r, d.jobs[id]
+	b := r.boxes[worker-1]
+	a := &attempt{d: d, job: j, n: len(j.attempts), box: b, left: j.work}
+	j.attempts = append(j.attempts, a)
+	r.result.Attempts++
+	if a.n > 0 {
+		r.result.Again++
+	}
+	if b.Station != d.station {
+		r.result.Crossings++
+	}
+	life := d.life
+	to, ok := r.way(d.station, b.Station)
+	back, _ := r.way(b.Station, d.station)
+	fresh := d.idle[worker-1] == 0
+	if !fresh {
+		d.idle[worker-1]--
+	}
+	written := func() {
+		if a.done || a.gone || d.dead || d.life != life {
+			return
+		}
+		d.policy.Written(d.clock(), id, a.n, fresh)
+		if ok {
+			r.after(to, func() {
+				switch {
+				case b.silent: // nothing is ever heard of it
+				case !b.up:
+					if w, ok := r.way(b.Station, d.station); ok {
+						r.after(w, func() { d.outcome(a, balance.Reset) })
+					}
+				default:
+					b.take(a)
+				}
+			})
+		}
+	}
+	switch {
+	case !fresh:
+		r.after(0, written)
+	case !ok || b.silent: // no connection comes up
+		r.after(r.Connect, func() { d.outcome(a, balance.ConnectFailed) })
+	case !b.up:
+		r.after(to+back, func() { d.outcome(a, balance.ConnectFailed) })
+	default:
+		r.result.Connections++
+		r.after(to+back, written)
+	}
+}
+
+// Refuse implements balance.Actions.
+func (d *dispatcher) Refuse(id balance.JobID, wait time.Duration) {
+	if j := d.jobs[id]; j != nil {
+		d.answer(j, Refused, wait)
+		d.settle(j)
+	}
+}
+
+// Fail implements balance.Actions.
+func (d *dispatcher) Fail(id balance.JobID) {
+	if j := d.jobs[id]; j != nil {
+		d.answer(j, Failed, 0)
+		d.settle(j)
+	}
+}
+
+// Cancel implements balance.Actions.
+func (d *dispatcher) Cancel(id balance.JobID, n int) {
+	j := d.jobs[id]
+	if j == nil || n < 0 || n >= len(j.attempts) || j.attempts[n].done {
+		return
+	}
+	a := j.attempts[n]
+	to, ok := d.r.way(d.station, a.box.Station)
+	if !ok || a.box.silent {
+		d.r.after(cancelWithin, func() { d.outcome(a, balance.Cancelled) })
+		return
+	}
+	back, _ := d.r.way(a.box.Station, d.station)
+	life := a.box.life
+	d.r.after(to, func() {
+		if !a.begun && a.box.life == life && a.box.remove(a) { // handed back unstarted
+			a.gone = true
+			d.r.after(back, func() { d.outcome(a, balance.Full) })
+			return
+		}
+		if a.box.life == life {
+			a.box.remove(a)
+		}
+		a.gone = true
+		d.r.after(back, func() { d.outcome(a, balance.Cancelled) })
+	})
+}
+
+// Probe implements balance.Actions.
+func (d *dispatcher) Probe(worker balance.WorkerID) {
+	r, b, life := d.r, d.r.boxes[worker-1], d.life
+	r.result.Probes++
+	to, ok := r.way(d.station, b.Station)
+	back, _ := r.way(b.Station, d.station)
+	status, after := balance.OK, to+back
+	switch {
+	case !ok || b.silent:
+		status, after = balance.TimedOut, probeWithin
+	case !b.up:
+		status = balance.ConnectFailed
+	}
+	r.after(after, func() {
+		if !d.dead && d.life == life {
+			d.policy.Probed(d.clock(), worker, status, nil)
+		}
+	})
+}
+
+// Timer implements balance.Actions.
+func (d *dispatcher) Timer(after time.Duration, token uint64) {
+	tick, life := max(d.r.Settings.Tick, time.Millisecond), d.life
+	at := (d.r.now + after + tick - 1) / tick * tick
+	if at <= d.r.now {
+		at += tick
+	}
+	d.r.at(at, func() {
+		if !d.dead && d.life == life {
+			d.policy.Timer(d.clock(), token)
+		}
+	})
+}
+
+// Watch implements balance.Actions: discovery deals with calls in turn.
+func (d *dispatcher) Watch() {
+	r, life := d.r, d.life
+	r.result.Lists++
+	r.discovery = max(r.discovery, r.now) + r.ListTime
+	r.at(r.discovery, func() {
+		if d.dead || d.life != life {
+			return
+		}
+		d.watches = true
+		all := make([]balance.Worker, 0, len(r.boxes))
+		for _, b := range r.boxes {
+			state := b.phase
+			if !b.up {
+				continue
+			}
+			all = append(all, b.listed(state))
+		}
+		d.kept = append(d.kept[:0:0], all...)
+		d.policy.List(d.clock(), balance.ListFull, all)
+	})
+}
+
+// Log implements balance.Actions.
+func (d *dispatcher) Log(string) {}
+
+// die ends the process with all that it holds; the list that it had is what it starts with again.
+func (d *dispatcher) die(back time.Duration) {
+	if d.dead {
+		return
+	}
+	d.dead = true
+	for _, id := range d.ids {
+		j := d.jobs[id]
+		if j == nil {
+			continue
+		}
+		for _, a := range j.attempts {
+			if !a.done {
+				d.abandon(a)
+			}
+		}
+		if !j.answered {
+			j.answered = true
+			d.r.after(0, func() { d.r.ended(j, Lost, 0) })
+		}
+	}
+	if back > 0 {
+		d.r.after(back, func() { d.start(false) })
+	}
+}
--- /dev/null
+++ b/sim/result.go
@@ -0,0 +1,276 @@
+package sim
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"liftgauge/balance"
+)
+
+// End is how a client's job ended, its retries folded into its first try.
+type End uint8
+
+// The ends.
+const (
+	Served End = iota
+	Refused
+	Failed
+	Lost // no answer: the dispatcher died, or the client's patience ended first
+)
+
+// ClassResult is what became of a class's jobs. Times are of jobs that were served, from the client's first try on.
+type ClassResult struct {
+	Offered, InTime, Late, Refused, Failed, Lost int64
+	Worth                                        float64 // earned over asked for
+	Latency                                      *hdrhistogram.Histogram
+}
+
+// BoxResult is what became of a box.
+type BoxResult struct {
+	Name                 string
+	Station, Kind        int
+	Sent, Served, Turned int64
+	Falls, Longest       int
+	Wasted               float64 // seconds of work at speed 1 that nobody waited for
+	Utilisation          float64 // of its cores, over the run
+}
+
+// Window is a stretch of the run, by when jobs were first sent.
+type Window struct {
+	From          time.Duration
+	Offered       int64
+	Asked, Earned float64
+	ByStation     []StationWindow
+}
+
+// StationWindow is the part of a window that a station's clients sent.
+type StationWindow struct{ Asked, Earned float64 }
+
+// Result is what a run shows.
+type Result struct {
+	Classes     []ClassResult
+	Boxes       []BoxResult
+	Windows     []Window
+	Service     float64 // worth answered in time over worth asked for
+	Worst       float64 // the same of the worst window that was offered a fair part of the mean
+	Tries       int64   // of clients, first ones with them
+	Attempts    int64   // of dispatchers
+	Again       int64   // of these, beyond a job's first
+	Crossings   int64   // of these, to another station
+	Connections int64
+	Probes      int64
+	Lists       int64 // calls at discovery
+	Falls       int   // boxes pushed over
+	Duplicates  int64 // runs of jobs that must not run twice, beyond the first
+	Margin      float64
+	Events      int64
+	Ended       time.Duration // when the last job ended
+}
+
+func newResult(w *World) *Result {
+	r := &Result{Margin: 1}
+	for range w.Classes {
+		r.Classes = append(r.Classes, ClassResult{Latency: hdrhistogram.New(1, 120_000_000, 3)})
+	}
+	return r
+}
+
+// span is the time of the arrivals.
+func (w *World) span() time.Duration {
+	if n := len(w.Arrivals); n > 0 {
+		return max(w.Arrivals[n-1].At, time.Second)
+	}
+	return time.Second
+}
+
+func (w *World) window() time.Duration {
+	if w.Window > 0 {
+		return w.Window
+	}
+	return 10 * time.Second
+}
+
+// arrive has a client send a job for the first time.
+func (r *run) arrive(n int) {
+	a := &r.Arrivals[n]
+	if r.silent[a.Station] > 0 {
+		return
+	}
+	c := &r.result.Classes[a.Class]
+	c.Offered++
+	w := r.windowOf(a.At)
+	w.Offered++
+	worth := r.Classes[a.Class].Worth
+	w.Asked += worth
+	w.ByStation[a.Station].Asked += worth
+	r.open++
+	r.send(&job{arrival: n, class: a.Class, work: a.Work, end: r.now + a.Left})
+}
+
+func (r *run) windowOf(at time.Duration) *Window {
+	i := int(at / r.window())
+	for len(r.result.Windows) <= i {
+		r.result.Windows = append(r.result.Windows, Window{From: time.Duration(len(r.result.Windows)) * r.window(),
+			ByStation: make([]StationWindow, r.Stations)})
+	}
+	return &r.result.Windows[i]
+}
+
+// send has a client send a try to a dispatcher of its station, or of any where its own has none.
+func (r *run) send(j *job) {
+	station := r.Arrivals[j.arrival].Station
+	r.result.Tries++
+	j.sent = r.now
+	var near, far []*dispatcher
+	for _, d := range r.dispatchers {
+		switch {
+		case d.dead:
+		case d.station == station:
+			near = append(near, d)
+		default:
+			far = append(far, d)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		r.after(0, func() { r.ended(j, Lost, 0) })
+		return
+	}
+	r.moved[station]++
+	d := near[r.moved[station]%len(near)]
+	way, ok := r.way(station, d.station)
+	if !ok {
+		r.at(j.end, func() { r.ended(j, Lost, 0) })
+		return
+	}
+	r.after(way, func() { d.take(j) })
+}
+
+// ended is the end of a try. The client tries again if that may help and do no harm.
+func (r *run) ended(j *job, end End, wait time.Duration) {
+	a := &r.Arrivals[j.arrival]
+	class := &r.Classes[j.class]
+	if end != Served && j.tries < r.Retry.Most && (end == Refused || class.Effect != balance.Unsafe) {
+		pause := r.Retry.Pause << j.tries
+		if r.Retry.Advice && end == Refused {
+			pause = max(pause, wait)
+		}
+		if r.now+pause < j.end {
+			next := &job{arrival: j.arrival, class: j.class, work: j.work, end: j.end, tries: j.tries + 1}
+			r.after(pause, func() { r.send(next) })
+			return
+		}
+	}
+	r.open--
+	r.result.Ended = r.now
+	c := &r.result.Classes[j.class]
+	switch took := r.now - a.At; end {
+	case Served:
+		c.Latency.RecordValue(max(1, took.Microseconds()))
+		worth := class.Worth
+		if aim := class.Aim + time.Duration(class.Stretch*a.Work*float64(time.Second)); took <= aim {
+			c.InTime++
+		} else {
+			c.Late++
+			worth *= class.LateWorth
+		}
+		w := r.windowOf(a.At)
+		w.Earned += worth
+		w.ByStation[a.Station].Earned += worth
+	case Refused:
+		c.Refused++
+	case Failed:
+		c.Failed++
+	case Lost:
+		c.Lost++
+	}
+}
+
+// began counts a run of a job.
+func (r *run) began(a *attempt) {
+	n := &r.runs[a.job.arrival]
+	if *n < math.MaxUint8 {
+		*n++
+	}
+	if *n > 1 && r.Classes[a.job.class].Effect == balance.Unsafe {
+		r.result.Duplicates++
+	}
+}
+
+// finish works out what needs the whole run.
+func (r *run) finish() {
+	res := r.result
+	asked, earned := 0.0, 0.0
+	for _, w := range res.Windows {
+		asked += w.Asked
+		earned += w.Earned
+	}
+	res.Service, res.Worst = 1, 1
+	if asked > 0 {
+		res.Service = earned / asked
+	}
+	fair := asked / float64(max(len(res.Windows), 1)) / 2
+	for _, w := range res.Windows {
+		if w.Asked > 0 && w.Asked >= fair {
+			res.Worst = min(res.Worst, w.Earned/w.Asked)
+		}
+	}
+	for i := range res.Classes {
+		c := &res.Classes[i]
+		if c.Worth = 1; c.Offered > 0 {
+			c.Worth = (float64(c.InTime) + r.Classes[i].LateWorth*float64(c.Late)) / float64(c.Offered)
+		}
+	}
+	for i, b := range r.boxes {
+		b.advance()
+		out := &res.Boxes[i]
+		out.Utilisation = b.busy / float64(b.kind.Cores) / max(r.now, r.span()).Seconds()
+	}
+}
+
+// fault has something go wrong.
+func (r *run) fault(f Fault) {
+	each := func(station int, do func(b *box)) {
+		for _, b := range r.boxes {
+			if b.Station == station {
+				do(b)
+			}
+		}
+	}
+	switch f.Effect {
+	case BoxDies:
+		r.boxes[f.Target].die(false, f.For)
+	case BoxVanishes:
+		r.boxes[f.Target].die(true, f.For)
+	case BoxDrains:
+		r.boxes[f.Target].drain(f.For)
+	case BoxesSlow:
+		r.pace(f.Factor)
+		r.after(f.For, func() { r.pace(1 / f.Factor) })
+	case StationBoxes:
+		each(f.Target, func(b *box) { b.die(true, f.For) })
+	case StationUsers:
+		r.silent[f.Target]++
+		r.after(f.For, func() { r.silent[f.Target]-- })
+	case StationLinks:
+		r.cut[f.Target]++
+		r.after(f.For, func() { r.cut[f.Target]-- })
+	case Dispatcher:
+		r.dispatchers[f.Target].die(f.For)
+	}
+}
+
+// pace changes the speed of all boxes.
+func (r *run) pace(factor float64) {
+	for _, b := range r.boxes {
+		b.advance()
+	}
+	r.slow *= factor
+	for _, b := range r.boxes {
+		b.replan()
+	}
+}
--- /dev/null
+++ b/sim/sim.go
@@ -0,0 +1,289 @@
+// Package sim plays a deployment in virtual time: clients, dispatchers, the network, boxes, discovery, and what goes wrong.
+//
+// Each simulated dispatcher holds the real decision module, or another Policy to compare it with. There is one goroutine and
+// no clock: a run is a function of its World and seed, and the same on every machine, whatever GOMAXPROCS is. Every use of
+// chance has a stream of its own, so that a change in one place leaves the draws of all others alone.
+//
+// The model is simple on purpose; doc comments on the fields say what each figure means. It knows nothing of planners.
+package sim
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"liftgauge/balance"
+)
+
+// Dist is a distribution of positive values by its mean and shape.
+type Dist struct {
+	Mean  float64
+	Shape Shape
+	// Spread is the standard deviation over the mean, for Lognormal; for Pareto the tail's exponent, over 1.
+	Spread float64
+}
+
+// Shape is the form of a Dist.
+type Shape uint8
+
+// The shapes.
+const (
+	Fixed Shape = iota
+	Exponential
+	Lognormal
+	Pareto // heavy tail
+)
+
+// Kind is a kind of box.
+type Kind struct {
+	Name  string
+	Cores int     // jobs that run at full speed side by side; more share them
+	Slots int     // jobs that run side by side at all
+	Queue int     // jobs that wait for a slot; one more is turned away unseen
+	Speed float64 // work done in a second by a core
+	// Spread is the standard deviation of single boxes' speeds over the mean.
+	Spread float64
+	// Crowding is what running twice as many jobs as there are cores costs, as a share of the speed of all.
+	Crowding float64
+}
+
+// Box is one box.
+type Box struct {
+	Name    string
+	Station int
+	Kind    int
+	Cell    int
+	Speed   float64 // of this one; 0: drawn from its kind
+}
+
+// Class is a class of jobs: what the module is told, and what the jobs are like.
+type Class struct {
+	balance.Class
+	Name string
+	Work Dist // seconds at speed 1
+	// HintSpread is how far hints are off: the standard deviation of their logarithm. Negative: no hints.
+	HintSpread float64
+}
+
+// Rules are what the deployment asks for; the module knows them too.
+type Rules struct {
+	DrainGrace     time.Duration // after a drain is told nothing new may be sent for longer
+	StartCapacity  float64       // share of its speed at which a box starts
+	WarmWithin     time.Duration
+	OverloadFactor float64       // work sent to a cold box beyond so many times what it can do,
+	FallTime       time.Duration // within so long, and it falls over
+	RestartAfter   time.Duration // of a box that fell over, and of one that died if it comes back
+}
+
+// Arrival is one job of a client, as if nothing held it up.
+type Arrival struct {
+	At      time.Duration
+	Class   int
+	Station int // of the client
+	Tenant  int
+	Work    float64 // seconds at speed 1
+	Hint    time.Duration
+	Left    time.Duration // how long the client waits in all
+}
+
+// Retry is what clients do when a job is refused or fails. An unsafe job that failed is never tried again by a client.
+type Retry struct {
+	Most  int           // tries beyond the first
+	Pause time.Duration // before the first of them, twice as long before each further one
+	// Advice says that clients stay away as long as they are told to.
+	Advice bool
+}
+
+// Effect is what a fault does.
+type Effect uint8
+
+// The effects.
+const (
+	BoxDies      Effect = iota // its connections are reset; it comes back cold after For
+	BoxVanishes                // it says nothing; it comes back cold after For
+	BoxDrains                  // discovery tells, it finishes what it has, restarts, and comes back cold after For
+	BoxesSlow                  // every box runs at Factor of its speed for For
+	StationBoxes               // all boxes of a station vanish for For and come back cold
+	StationUsers               // a station's clients send nothing for For
+	StationLinks               // nothing passes between a station and the others for For
+	Burst                      // arrivals come Factor times as often; to be worked into the arrivals by who makes them
+	Dispatcher                 // one dies; its clients go to another of their station after Rules.RestartAfter, or fail
+)
+
+// Fault is something that goes wrong.
+type Fault struct {
+	At     time.Duration
+	Effect Effect
+	Target int // box, station or dispatcher
+	For    time.Duration
+	Factor float64
+}
+
+// World is all that a run is made of.
+type World struct {
+	Stations    int
+	OneWay      [][]time.Duration // between stations; the own one on the diagonal
+	Jitter      float64           // standard deviation of the logarithm of a way's time
+	Kinds       []Kind
+	Boxes       []Box
+	Classes     []Class
+	Rules       Rules
+	Dispatchers []int // the station of each
+	Arrivals    []Arrival
+	Retry       Retry
+	Faults      []Fault
+	Lag         time.Duration    // from a change until discovery tells it
+	ListTime    time.Duration    // discovery's work for one call, which are done in turn
+	Connect     time.Duration    // time-out of a connection
+	Attempts    int              // at most, for each job
+	Settings    balance.Settings // what else the module is told; classes, rules and numbers are filled in
+	Policy      func(s balance.Settings, seed uint64, do balance.Actions) Policy
+	End         time.Duration // the run ends when nothing is open any more, and then at the latest
+	Window      time.Duration // of the series in the result; 0: 10 s
+}
+
+// Policy decides for one dispatcher. *balance.Dispatcher is the one that counts.
+type Policy interface {
+	Start(now time.Duration)
+	List(now time.Duration, form balance.ListKind, entries []balance.Worker)
+	Job(now time.Duration, j balance.Job)
+	Written(now time.Duration, id balance.JobID, n int, fresh bool)
+	Started(now time.Duration, id balance.JobID, n int)
+	Outcome(now time.Duration, o balance.Outcome)
+	Probed(now time.Duration, id balance.WorkerID, status balance.Status, report []float32)
+	Timer(now time.Duration, token uint64)
+	Left(now time.Duration, id balance.JobID)
+}
+
+// Module is the decision module as a Policy.
+func Module(s balance.Settings, seed uint64, do balance.Actions) Policy {
+	return balance.New(s, seed, do)
+}
+
+// stream is a source of chance with a name: nobody else draws from it.
+func stream(seed uint64, name string) *rand.Rand {
+	text := binary.BigEndian.AppendUint64(nil, seed)
+	return rand.New(rand.NewChaCha8(sha256.Sum256(append(text, name...))))
+}
+
+// event is something that happens at a time; among those of one time the one that was asked for first.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
+
+// run is a World that is being played.
+type run struct {
+	*World
+	seed        uint64
+	now         time.Duration
+	seq         uint64
+	queue       events
+	network     *rand.Rand
+	boxes       []*box
+	dispatchers []*dispatcher
+	open        int // jobs without an end
+	arrived     int // of Arrivals
+	slow        float64
+	cut         []int // by station: faults that cut its links now
+	silent      []int // by station: faults that silence its clients now
+	discovery   time.Duration
+	result      *Result
+	runs        []uint8 // by arrival: how often it ran
+	moved       []int   // by station: turn among its dispatchers
+}
+
+// epoch is when runs begin on the module's clock: no box has started long before.
+const epoch = 1000 * time.Hour
+
+// Run plays a world.
+func Run(w *World, seed uint64) *Result {
+	r := &run{World: w, seed: seed, network: stream(seed, "network"), slow: 1, cut: make([]int, w.Stations), silent: make([]int, w.Stations),
+		runs: make([]uint8, len(w.Arrivals)), moved: make([]int, w.Stations)}
+	r.result = newResult(w)
+	speeds := stream(seed, "speeds")
+	for i, b := range w.Boxes {
+		k := w.Kinds[b.Kind]
+		if b.Speed == 0 {
+			b.Speed = max(k.Speed*(1+k.Spread*speeds.NormFloat64()), k.Speed/10)
+		}
+		r.boxes = append(r.boxes, &box{Box: b, r: r, kind: k, id: balance.WorkerID(i + 1), phase: balance.Ready, up: true})
+		r.result.Boxes = append(r.result.Boxes, BoxResult{Name: b.Name, Station: b.Station, Kind: b.Kind})
+	}
+	for i, b := range r.boxes {
+		b.result = &r.result.Boxes[i]
+	}
+	for i, station := range w.Dispatchers {
+		r.dispatchers = append(r.dispatchers, newDispatcher(r, i, station))
+	}
+	for _, d := range r.dispatchers {
+		d.start(true)
+	}
+	for _, f := range w.Faults {
+		r.at(f.At, func() { r.fault(f) })
+	}
+	r.next()
+	for len(r.queue) > 0 {
+		e := heap.Pop(&r.queue).(event)
+		if w.End > 0 && e.at > w.End || r.open == 0 && r.arrived == len(w.Arrivals) {
+			break
+		}
+		r.now = e.at
+		e.do()
+		r.result.Events++
+	}
+	r.finish()
+	return r.result
+}
+
+// at has something happen at a time, not before now.
+func (r *run) at(at time.Duration, do func()) {
+	r.seq++
+	heap.Push(&r.queue, event{max(at, r.now), r.seq, do})
+}
+
+func (r *run) after(d time.Duration, do func()) { r.at(r.now+d, do) }
+
+// next has the next job arrive. They come one after another, so that the queue stays short.
+func (r *run) next() {
+	if r.arrived == len(r.Arrivals) {
+		return
+	}
+	n := r.arrived
+	r.at(r.Arrivals[n].At, func() {
+		r.arrived++
+		r.arrive(n)
+		r.next()
+	})
+}
+
+// way is how long a message takes between two stations now; ok false: it never arrives.
+func (r *run) way(from, to int) (d time.Duration, ok bool) {
+	if from != to && (r.cut[from] > 0 || r.cut[to] > 0) {
+		return 0, false
+	}
+	d = r.OneWay[from][to]
+	if r.Jitter > 0 && d > 0 {
+		d = time.Duration(float64(d) * lognormal(r.network, r.Jitter))
+	}
+	return d, true
+}
