Capture what a dispatcher saw to checksummed files

The planner needs load as it was. With capture in the settings the daemon writes a record for each message, its attempts with it, without bodies; keys are hashed with a secret. A writer of its own takes them from a bounded queue; what the disk does not take is dropped, counted, and said so in the file. Files read up to the last whole block when they are cut off at any byte, and past damaged blocks.

--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -144,7 +144,12 @@
 	list.Spread = min(time.Duration(c.Settings.Dispatchers)*remakeFor, longestRemake)
 	module := c.Settings
 	module.Classes = own.table.Classes()
-	sink.Owner = owner.New(owner.Config{Settings: module, HostRuns: own.table.HostRuns, Seed: c.Seed, Known: known.Hosts, South: hosts,
+	id := boot()
+	records, err := openCapture(c, own, id, log)
+	if err != nil {
+		return err
+	}
+	sink.Owner = owner.New(owner.Config{Seen: records.seen(), Settings: module, HostRuns: own.table.HostRuns, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
 		Follows: n.follows, Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
 	var other north.Other
@@ -154,11 +159,11 @@
 	var wrap func(int, *http1.Call) any
 	if pulls != nil {
 		pulls.start(gearman.Config{Desk: sink.Owner, Routes: own.table, Settings: own.Gearman, Classes: module.Classes, Zone: c.Settings.Zone,
-			Kinds: len(c.Kinds), Name: c.Name, Boot: boot(), MaxConns: pullConns, Budget: bytes, LastAnswer: lastAnswer,
+			Kinds: len(c.Kinds), Name: c.Name, Boot: id, Subject: records.subject(), MaxConns: pullConns, Budget: bytes, LastAnswer: lastAnswer,
 			Shutdown: cancel, Now: now, Log: log, Check: check})
 		wrap = pulls.wrap(c.Classes)
 	}
-	clients := north.New(north.Config{Desk: sink, Wrap: wrap, Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
+	clients := north.New(north.Config{Desk: sink, Wrap: wrap, Subject: records.subject(), Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
 		MaxConns: northConns, Budget: bytes, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
 	n.owner, n.clients, n.hosts, n.list, n.bytes = sink.Owner, clients, hosts, list, bytes
 	if n.peer != nil {
@@ -173,7 +178,7 @@
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
 		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Drain: clients.Drain, Offline: n.call, Log: log,
-			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes) }})
+			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes, records) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
 	if pulls != nil {
@@ -191,6 +196,10 @@
 	if n.peer != nil {
 		group.Go(func() error { return n.peer.Run(run) })
 	}
+	if records != nil {
+		log.Info("capture", "folder", own.Capture.Folder)
+		group.Go(func() error { return records.Run(owned) }) // what the owner ends with is written too
+	}
 	group.Go(func() error { // what it needs to serve is there
 		n.start()
 		return nil
@@ -208,10 +217,10 @@
 }
 
 // figures gathers the counts, each from where the thing is counted.
-func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget) control.Figures {
+func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget, records *records) control.Figures {
 	f := control.Figures{Forwards: o.Forwards(), Outstanding: clients.Outstanding()}
 	f.Discovered, f.Ejected = o.Fleet()
-	f.More = pulls.figures(bytes)
+	f.More = append(pulls.figures(bytes), records.figures()...)
 	for i, name := range c.Classes {
 		r := clients.Results(i)
 		f.Classes = append(f.Classes, control.Class{Name: name, Succeeded: r.Succeeded, Declined: r.Declined, Aborted: r.Aborted})
--- a/deploy/liftgauge.cue
+++ b/deploy/liftgauge.cue
@@ -2,6 +2,8 @@
 //
 // Every field is explained in internal/settings/cuefile/schema.cue; docs/gearman.md is the page for operators.
 
+// capture: folder: "/var/lib/liftgauge/capture"
+
 // gearman: {
 // 	listen: "127.0.0.1:4730"
 // 	functions: {
--- /dev/null
+++ b/internal/capture/capture_test.go
@@ -0,0 +1,257 @@
+package capture
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func records(n int) []Record {
+	rng := rand.New(rand.NewPCG(1, 2))
+	all := make([]Record, n)
+	for i := range all {
+		all[i] = Record{Arrived: int64(i) * 1e6, Class: i % 2, Key: rng.Uint64(), Hint: rng.Int64N(1e9), Patience: 5e9, End: uint8(i % 4), Took: rng.Int64N(1e9),
+			Attempts: []Attempt{{Host: "s-1", Sent: 10, Began: -1, Ended: rng.Int64N(1e9), Status: 1}}}
+	}
+	return all
+}
+
+// readAll reads what can be read.
+func readAll(t testing.TB, b []byte) (*Reader, []Record) {
+	t.Helper()
+	r, err := NewReader(bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	var all []Record
+	for {
+		rec, err := r.Next()
+		if err == io.EOF {
+			return r, all
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, rec)
+	}
+}
+
+func TestWhole(t *testing.T) {
+	want := records(5000)
+	var b bytes.Buffer
+	h := Header{Name: "n0", Boot: "x", Classes: []string{"a", "b"}}
+	if err := Create(&b, h, want); err != nil {
+		t.Fatal(err)
+	}
+	r, got := readAll(t, b.Bytes())
+	if h.Version = Version; !reflect.DeepEqual(got, want) || !reflect.DeepEqual(r.Header, h) || r.Cut || r.Damaged != 0 {
+		t.Errorf("%d records of %d, %+v", len(got), len(want), r)
+	}
+	t.Logf("%d bytes a record", b.Len()/len(want))
+}
+
+// TestCutAndDamaged: whatever byte a file ends at or is wrong in, what comes back is what was written, in order, and all of
+// it but the blocks that are touched.
+func TestCutAndDamaged(t *testing.T) {
+	want := records(4000)
+	var b bytes.Buffer
+	if err := Create(&b, Header{Name: "n0"}, want); err != nil {
+		t.Fatal(err)
+	}
+	whole := b.Bytes()
+	head, err := appendHeader(nil, Header{Name: "n0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	inOrder := func(got []Record) bool {
+		i := 0
+		for _, r := range got {
+			for i < len(want) && want[i].Arrived != r.Arrived {
+				i++
+			}
+			if i == len(want) || !reflect.DeepEqual(want[i], r) {
+				return false
+			}
+		}
+		return true
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 60 {
+		at := len(head) + rng.IntN(len(whole)-len(head))
+		r, got := readAll(t, whole[:at])
+		if len(got) > 0 && !reflect.DeepEqual(got, want[:len(got)]) {
+			t.Fatalf("cut at %d: %d records are not the first", at, len(got))
+		}
+		if _, next := readAll(t, whole); len(next) != len(want) {
+			t.Fatal("reading changed the file")
+		}
+		if r.Damaged != 0 {
+			t.Fatalf("cut at %d counts as damaged", at)
+		}
+		bad := bytes.Clone(whole)
+		bad[at] ^= byte(1 + rng.IntN(255))
+		r, got = readAll(t, bad)
+		if !inOrder(got) || len(got) == len(want) || r.Damaged == 0 && !r.Cut || len(got) < len(want)/3 {
+			t.Fatalf("damaged at %d: %d of %d records, %d damaged, cut %v", at, len(got), len(want), r.Damaged, r.Cut)
+		}
+	}
+	for name, c := range map[string]struct {
+		b    []byte
+		want error
+	}{"another kind": {[]byte("#!/bin/sh\n and so on, for some more"), ErrNoCapture}, "empty": {nil, ErrNoCapture},
+		"another version": {append([]byte("LGCAP\x02\r\n"), whole[8:]...), ErrVersion}, "cut in its header": {whole[:len(head)-1], ErrNoCapture}} {
+		if _, err := NewReader(bytes.NewReader(c.b)); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// disk is a file that can fail.
+type disk struct {
+	mu     sync.Mutex
+	b      []byte
+	room   int // bytes that it still takes
+	stuck  chan struct{}
+	writes int
+}
+
+func (d *disk) Write(b []byte) (int, error) {
+	if d.stuck != nil {
+		<-d.stuck
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.writes++
+	n := min(len(b), d.room)
+	d.b = append(d.b, b[:n]...)
+	if d.room -= n; n < len(b) {
+		return n, errors.New("no space left on device")
+	}
+	return n, nil
+}
+func (d *disk) Truncate(n int64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.room += len(d.b) - int(n)
+	d.b = d.b[:n]
+	return nil
+}
+func (d *disk) Close() error { return nil }
+
+func writer(d *disk, queue int) *Writer {
+	return NewWriter(Config{Header: Header{Name: "n0"}, MaxFile: 1 << 30, Queue: queue, Interval: time.Second,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Create: func(string) (File, error) { return d, nil }})
+}
+
+// TestFullDisk: what does not fit is dropped and counted, the file stays whole, and it goes on when there is room.
+func TestFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &disk{room: 2000}
+		w := writer(d, 4096)
+		ctx, stop := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		for _, r := range records(2000) {
+			w.Put(r)
+		}
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if w.Dropped() == 0 {
+			t.Fatal("nothing dropped on a full disk")
+		}
+		d.mu.Lock()
+		d.room = 1 << 30
+		d.mu.Unlock()
+		w.Put(records(1)[0])
+		time.Sleep(2 * time.Second)
+		stop()
+		synctest.Wait()
+		r, got := readAll(t, d.b)
+		if r.Cut || r.Damaged != 0 || int64(len(got)) != w.Written() || r.Dropped != w.Dropped() || w.Written()+w.Dropped() != 2001 {
+			t.Errorf("%d read, %d written, %d dropped, %d said to be; cut %v, %d damaged", len(got), w.Written(), w.Dropped(), r.Dropped, r.Cut, r.Damaged)
+		}
+	})
+}
+
+// TestSlowDisk: Put never waits, and holds no more than the queue.
+func TestSlowDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &disk{room: 1 << 30, stuck: make(chan struct{})}
+		w := writer(d, 100)
+		ctx, stop := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		start := time.Now()
+		for range 30 {
+			for _, r := range records(1000) {
+				w.Put(r)
+			}
+		}
+		if time.Since(start) != 0 || len(w.queue) > 100 || w.Dropped() == 0 {
+			t.Errorf("%v passed, %d wait, %d dropped", time.Since(start), len(w.queue), w.Dropped())
+		}
+		close(d.stuck)
+		stop()
+		synctest.Wait()
+		if r, got := readAll(t, d.b); int64(len(got)) != w.Written() || r.Dropped+0 > w.Dropped() {
+			t.Errorf("%d read, %d written", len(got), w.Written())
+		}
+	})
+}
+
+// TestFiles: a file that is full is followed by the next, and only so many are kept.
+func TestFiles(t *testing.T) {
+	dir := t.TempDir()
+	w := NewWriter(Config{Folder: dir, Header: Header{Name: "n0", Boot: "b"}, MaxFile: 20 << 10, Files: 3, Queue: 1 << 16, Interval: time.Second,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	for range 10 {
+		for _, r := range records(2000) {
+			w.Put(r)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := w.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "n0-b-*"+Ending))
+	if len(files) != 3 || w.Dropped() != 0 {
+		t.Errorf("%d files, %d dropped", len(files), w.Dropped())
+	}
+	b, err := os.ReadFile(files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, got := readAll(t, b); len(got) == 0 {
+		t.Error("an empty file")
+	}
+}
+
+// FuzzReader: whatever a file holds, reading it ends, and neither panics nor takes memory without bound.
+func FuzzReader(f *testing.F) {
+	var b bytes.Buffer
+	Create(&b, Header{Name: "n0"}, records(20))
+	f.Add(b.Bytes())
+	f.Add(b.Bytes()[:b.Len()-3])
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r, err := NewReader(bytes.NewReader(in))
+		if err != nil {
+			return
+		}
+		defer r.Close()
+		for {
+			if _, err := r.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/capture/writer.go
@@ -0,0 +1,286 @@
+package capture
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+)
+
+// Ending is what the names of capture files end with.
+const Ending = ".lgcap"
+
+// File is what a Writer writes to.
+type File interface {
+	io.Writer
+	io.Closer
+	Truncate(size int64) error
+}
+
+// Config is what a Writer needs.
+type Config struct {
+	Folder   string
+	Header   Header
+	MaxFile  int64 // bytes, after which the next file is begun
+	Files    int   // how many of this dispatcher's are kept
+	Queue    int   // records that may wait for the disk; more are dropped
+	Interval time.Duration
+	Log      *slog.Logger
+	// Create opens a new file; nil for one on disk. Remove and List are its companions.
+	Create func(path string) (File, error)
+}
+
+// Writer writes records by a goroutine of its own. Put never waits.
+type Writer struct {
+	Config
+	queue   chan Record
+	dropped atomic.Int64 // not yet told in a file
+	lost    atomic.Int64 // in all
+	written atomic.Int64
+}
+
+// Blocks are as long as this before compression, or as many records as come within the interval.
+const blockSize = 64 << 10
+
+// NewWriter returns a Writer; Run does the writing.
+func NewWriter(c Config) *Writer {
+	if c.Create == nil {
+		c.Create = func(path string) (File, error) { return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o640) }
+	}
+	return &Writer{Config: c, queue: make(chan Record, max(c.Queue, 1))}
+}
+
+// Put hands in a record. Where too many wait already it is dropped, and counted.
+func (w *Writer) Put(r Record) {
+	select {
+	case w.queue <- r:
+	default:
+		w.drop(1)
+	}
+}
+
+func (w *Writer) drop(n int) {
+	w.dropped.Add(int64(n))
+	w.lost.Add(int64(n))
+}
+
+// Written and Dropped are counts of records since the start.
+func (w *Writer) Written() int64 { return w.written.Load() }
+func (w *Writer) Dropped() int64 { return w.lost.Load() }
+
+// out is the file under way.
+type out struct {
+	w       *Writer
+	z       *zstd.Encoder
+	f       File
+	size    int64 // of what is whole
+	number  int
+	failing bool
+	raw     []byte
+	records int
+	block   []byte
+}
+
+// Run writes until the context ends, and then what still waits.
+func (w *Writer) Run(ctx context.Context) error {
+	z, err := newEncoder()
+	if err != nil {
+		return err
+	}
+	defer z.Close()
+	o := &out{w: w, z: z}
+	defer o.close()
+	ticks := time.NewTicker(max(w.Interval, 10*time.Millisecond))
+	defer ticks.Stop()
+	for {
+		select {
+		case r := <-w.queue:
+			o.add(r)
+		case <-ticks.C:
+			o.flush()
+		case <-ctx.Done():
+			for {
+				select {
+				case r := <-w.queue:
+					o.add(r)
+					continue
+				default:
+				}
+				o.flush()
+				return nil
+			}
+		}
+	}
+}
+
+// add puts a record into the block under way.
+func (o *out) add(r Record) {
+	b, err := cbor.Marshal(r)
+	if err != nil {
+		o.w.drop(1)
+		return
+	}
+	o.raw = append(o.raw, b...)
+	if o.records++; len(o.raw) >= blockSize {
+		o.flush()
+	}
+}
+
+// flush writes the block under way. What the disk does not take is dropped: to hold it would take memory without bound.
+func (o *out) flush() {
+	if o.records == 0 {
+		return
+	}
+	dropped := int(o.w.dropped.Swap(0))
+	o.block = appendBlock(o.block[:0], o.z, o.raw, o.records, dropped)
+	if err := o.write(o.block); err != nil {
+		o.w.dropped.Add(int64(dropped))
+		o.w.drop(o.records)
+		if !o.failing {
+			o.w.Log.Error("capture: records are dropped", "err", err)
+		}
+		o.failing = true
+	} else {
+		o.w.written.Add(int64(o.records))
+		if o.failing {
+			o.w.Log.Info("capture: written again", "dropped", o.w.Dropped())
+		}
+		o.failing = false
+	}
+	o.raw, o.records = o.raw[:0], 0
+}
+
+// write appends to the file, or begins one. What was written in part is taken back, so that a later block follows a whole
+// one; a file that cannot even be cut is left, and another begun.
+func (o *out) write(b []byte) error {
+	if o.f != nil && o.size+int64(len(b)) > o.w.MaxFile {
+		o.close()
+	}
+	if o.f == nil {
+		if err := o.begin(); err != nil {
+			return err
+		}
+	}
+	n, err := o.f.Write(b)
+	if err == nil {
+		o.size += int64(n)
+		return nil
+	}
+	if cut := o.f.Truncate(o.size); cut != nil {
+		err = errors.Join(err, cut)
+		o.close()
+	}
+	return err
+}
+
+func (o *out) begin() error {
+	head, err := appendHeader(nil, o.w.Header)
+	if err != nil {
+		return err
+	}
+	o.prune()
+	for range 1000 {
+		o.number++
+		f, err := o.w.Create(filepath.Join(o.w.Folder, fmt.Sprintf("%s-%s-%04d%s", o.w.Header.Name, o.w.Header.Boot, o.number, Ending)))
+		if errors.Is(err, os.ErrExist) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := f.Write(head); err != nil {
+			f.Close()
+			return err
+		}
+		o.f, o.size = f, int64(len(head))
+		return nil
+	}
+	return errors.New("no free name for a file")
+}
+
+// prune removes the oldest files of this dispatcher that are too many.
+func (o *out) prune() {
+	entries, err := os.ReadDir(o.w.Folder)
+	if err != nil || o.w.Files <= 0 {
+		return
+	}
+	type old struct {
+		name string
+		at   time.Time
+	}
+	var all []old
+	for _, e := range entries {
+		if strings.HasPrefix(e.Name(), o.w.Header.Name+"-") && strings.HasSuffix(e.Name(), Ending) {
+			if info, err := e.Info(); err == nil {
+				all = append(all, old{e.Name(), info.ModTime()})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b old) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	for len(all) >= o.w.Files {
+		if err := os.Remove(filepath.Join(o.w.Folder, all[0].name)); err != nil {
+			o.w.Log.Warn("capture: old file not removed", "err", err)
+		}
+		all = all[1:]
+	}
+}
+
+func (o *out) close() {
+	if o.f != nil {
+		if err := o.f.Close(); err != nil {
+			o.w.Log.Error("capture: close", "err", err)
+		}
+	}
+	o.f = nil
+}
+
+// Create writes a whole file of records, for tools.
+func Create(w io.Writer, h Header, records []Record) error {
+	z, err := newEncoder()
+	if err != nil {
+		return err
+	}
+	defer z.Close()
+	b, err := appendHeader(nil, h)
+	if err != nil {
+		return err
+	}
+	var raw []byte
+	n := 0
+	flush := func() error {
+		if n > 0 {
+			b = appendBlock(b, z, raw, n, 0)
+		}
+		_, err := w.Write(b)
+		b, raw, n = b[:0], raw[:0], 0
+		return err
+	}
+	for _, r := range records {
+		item, err := cbor.Marshal(r)
+		if err != nil {
+			return err
+		}
+		raw = append(raw, item...)
+		if n++; len(raw) >= blockSize {
+			if err := flush(); err != nil {
+				return err
+			}
+		}
+	}
+	return flush()
+}
--- a/internal/gearman/client.go
+++ b/internal/gearman/client.go
@@ -132,6 +132,9 @@
 	w.Keyed = s.Classes[class].Effect == balance.Keyed
 	d.message = &owner.Message{Key: w.ID, Payload: w, Settled: hold.Drop, Job: balance.Job{Class: class, Left: s.Classes[class].Limit,
 		Hint: w.Hint, Weight: p.Weight()}}
+	if s.Subject != nil {
+		d.message.Subject = s.Subject(unique)
+	}
 	d.message.Reply = func(a owner.Answer) { s.finish(j, a, false) }
 	d.message.Event = func(what any) { s.event(j, what) }
 	if d.at = at; at > now {
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -55,6 +55,7 @@
 	Boot     string          // of this process: no two processes have the same
 	MaxConns int
 	Budget   *budget.Budget
+	Subject  func(key string) uint64 // as the north side's
 	// LastAnswer is how long after the beginning of a planned end every job must have ended.
 	LastAnswer time.Duration
 	Shutdown   func() // begins the planned end, where an admin may ask for it
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -69,7 +69,15 @@
 			call.Fields = append(call.Fields, f)
 		}
 	}
-	return &owner.Message{Key: id, Job: job, Payload: call}, call, nil
+	m := &owner.Message{Key: id, Job: job, Payload: call}
+	if s.Subject != nil {
+		key, _ := head.Fields.Get("Req-Key")
+		if key == "" {
+			key, _ = head.Fields.Get("Idempotency-Key")
+		}
+		m.Subject = s.Subject(key)
+	}
+	return m, call, nil
 }
 
 // arrive notes that all of a message has come.
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -52,6 +52,8 @@
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
+	// Subject hashes what a message is about, for records; nil where none are kept.
+	Subject func(key string) uint64
 	// Wrap makes the payload that other sides understand; nil where there are only hosts that speak HTTP.
 	Wrap   func(class int, call *http1.Call) any
 	Budget *budget.Budget // of what messages and call-backs hold; nil for one of 48 MB and 16 MB
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -47,6 +47,7 @@
 	// Settled, if it is set, is called once when the owner has let go of the message: it is answered, or its client has
 	// gone, and no attempt is out. It must not block. A message that Submit turned away was never the owner's.
 	Settled func()
+	Subject uint64 // a keyed hash of what it is about, for records only; 0: none
 }
 
 // Begun is an event of a message: it runs.
@@ -86,8 +87,18 @@
 	host   *host
 	barred atomic.Bool
 	timer  wheel.Timer[timer] // its time-out, where it has one of its own
+
+	began, ended time.Duration // 0: not known
+	status       balance.Status
 }
 
+// Sent, Began and Ended are on the owner's clock, 0 where not known; Status is how it ended. They may be asked for once the
+// message has settled.
+func (a *Attempt) Sent() time.Duration    { return a.sent }
+func (a *Attempt) Began() time.Duration   { return a.began }
+func (a *Attempt) Ended() time.Duration   { return a.ended }
+func (a *Attempt) Status() balance.Status { return a.status }
+
 func (a *Attempt) clear() bool {
 	return !a.barred.Load() && !a.host.shut.Load() && !a.host.offline.Load()
 }
@@ -130,6 +141,10 @@
 	Log       *slog.Logger
 	Check     *invariant.Checker
 
+	// Seen, if it is set, is told of every message that has settled: what its answer was, if it got one, and when, and all
+	// attempts. It must not block.
+	Seen func(m *Message, answer Kind, answered bool, at time.Duration, attempts []*Attempt)
+
 	// HostRuns says which classes an inventory's host of a kind runs, as balance.Worker.Runs has it; nil: all.
 	HostRuns func(kind int) []bool
 
@@ -169,6 +184,9 @@
 	out      int
 	attempts []*Attempt
 	timers   []wheel.Timer[timer] // its deadline, and what the module asked for: they end with it
+	kind     Kind                 // of its answer
+	at       time.Duration        // of its answer, or of its client's leaving
+	left     bool                 // the client was first
 }
 
 type host struct {
@@ -337,7 +355,7 @@
 		if p == nil || p.Message != m || p.answered {
 			return // the final answer and the client's leaving crossed: the answer was first
 		}
-		p.answered, p.gone = true, true
+		p.answered, p.gone, p.left, p.at = true, true, true, now
 		o.module.Left(now, p.id)
 		o.settle(p)
 	})
@@ -441,6 +459,7 @@
 		if a.over {
 			return
 		}
+		a.began = now
 		o.module.Written(now, a.open.id, a.number, false)
 		o.module.Started(now, a.open.id, a.number)
 		o.event(a, Begun{})
@@ -550,7 +569,7 @@
 	if a.Kind == BackOff && !o.Check.Check(!p.mayHave && p.out == 0, "back-off answer for what may have run", "message", p.Key) {
 		a = Answer{Kind: Failed}
 	}
-	p.answered = true
+	p.answered, p.kind, p.at = true, a.Kind, o.Now()
 	o.Log.Debug("answered", "message", p.Key, "class", p.Job.Class, "kind", a.Kind, "hint", p.Job.Hint, "took", o.Now()-p.Arrived)
 	switch a.Kind {
 	case Served:
@@ -573,6 +592,9 @@
 		for _, t := range p.timers {
 			o.wheel.Stop(t)
 		}
+		if o.Seen != nil {
+			o.Seen(p.Message, p.kind, !p.left, p.at, p.attempts)
+		}
 		if p.Settled != nil {
 			p.Settled()
 		}
@@ -637,6 +659,7 @@
 	switch r.State {
 	case Started:
 		o.Log.Debug("attempt started", "message", p.Key, "host", a.Host.Name, "took", now-a.sent)
+		a.began = now
 		o.module.Started(now, p.id, a.number)
 		o.event(a, Begun{})
 	case Progress:
@@ -668,7 +691,7 @@
 	if a.over {
 		return
 	}
-	a.over = true
+	a.over, a.ended, a.status = true, now, status
 	a.stop(ErrSettled)
 	o.wheel.Stop(a.timer)
 	p := a.open
--- a/internal/settings/cuefile/schema.cue
+++ b/internal/settings/cuefile/schema.cue
@@ -16,6 +16,20 @@
 	sockets?: int & >=32 & <=65536
 
 	gearman?: #Gearman
+	capture?: #Capture
+}
+
+// A record of each message, without bodies and without ids of people.
+#Capture: {
+	folder: string & !="" // must be there
+
+	file:     int & >=65536 | *67108864 // bytes of a file, after which the next one is begun
+	files:    int & >=1 | *8            // of this dispatcher's that are kept
+	queue:    int & >=1 | *2048         // records that may wait for the disk; more are dropped and counted
+	interval: #Duration | *"1s"         // until what was seen is written
+
+	// With this text the keys of messages are hashed. Dispatchers whose files are to be put together need the same.
+	secret: string | *""
 }
 
 #Gearman: {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,17 @@
 type Settings struct {
 	Sockets int      `json:"sockets"` // descriptors, where the configuration offers more than its usual most; 0: not set
 	Gearman *Gearman `json:"gearman"` // nil: off
+	Capture *Capture `json:"capture"` // nil: off
+}
+
+// Capture is what the schema calls #Capture.
+type Capture struct {
+	Folder   string   `json:"folder"`
+	File     int64    `json:"file"`
+	Files    int      `json:"files"`
+	Queue    int      `json:"queue"`
+	Interval Duration `json:"interval"`
+	Secret   string   `json:"secret"`
 }
 
 // Duration is a time.Duration that stands in JSON as a text like "250ms".
