--- a/cmd/liftlab/main.go
+++ b/cmd/liftlab/main.go
@@ -34,7 +34,7 @@
 		SilenceErrors:     true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	cmd.AddCommand(demoCommand(), overheadCommand(), gearmanCommand(), proxyCommand())
+	cmd.AddCommand(demoCommand(), overheadCommand(), gearmanCommand(), captureCommand(), checkCommand(), planCommand(), proxyCommand())
 	return cmd
 }
 
@@ -47,8 +47,8 @@
 	return filepath.Join(filepath.Dir(self), "liftgauge")
 }
 
-// last prints a report as the last line.
-func last(cmd *cobra.Command, report any) error {
+// lastLine prints a report as the last line.
+func lastLine(cmd *cobra.Command, report any) error {
 	text, err := json.Marshal(report)
 	if err != nil {
 		return err
@@ -104,7 +104,7 @@
 			if err != nil {
 				return err
 			}
-			return last(cmd, report)
+			return lastLine(cmd, report)
 		},
 	}
 	f := cmd.Flags()
@@ -119,6 +119,7 @@
 	f.DurationVar(&c.Patience, "patience", 5*time.Second, "how long a client waits")
 	f.DurationVar(&c.Warm, "warm", time.Second, "load before each measurement")
 	f.DurationVar(&c.Length, "length", 5*time.Second, "length of each measurement")
+	f.BoolVar(&c.Capture, "capture", false, "measure the daemon with capture on as well")
 	f.IntVar(&c.Rounds, "rounds", 1, "how often all is measured")
 	return cmd
 }
@@ -152,7 +153,7 @@
 				fmt.Fprintf(out, "%d workers and %d queued jobs (%d taken): peak %.1f MB of %d, %.1f MB with the workers alone\n", l.Workers, l.Queued,
 					l.Accepted, l.PeakMB, c.Memory, l.IdleMB)
 			}
-			return last(cmd, report)
+			return lastLine(cmd, report)
 		},
 	}
 	f := cmd.Flags()
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -1,6 +1,7 @@
 package capture
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -86,7 +87,8 @@
 	size    int64 // of what is whole
 	number  int
 	failing bool
-	raw     []byte
+	cbor    cbor.UserBufferEncMode
+	raw     bytes.Buffer
 	records int
 	block   []byte
 }
@@ -98,7 +100,11 @@
 		return err
 	}
 	defer z.Close()
-	o := &out{w: w, z: z}
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		return err
+	}
+	o := &out{w: w, z: z, cbor: mode}
 	defer o.close()
 	ticks := time.NewTicker(max(w.Interval, 10*time.Millisecond))
 	defer ticks.Stop()
@@ -125,13 +131,13 @@
 
 // add puts a record into the block under way.
 func (o *out) add(r Record) {
-	b, err := cbor.Marshal(r)
-	if err != nil {
+	whole := o.raw.Len()
+	if err := o.cbor.MarshalToBuffer(&r, &o.raw); err != nil {
+		o.raw.Truncate(whole)
 		o.w.drop(1)
 		return
 	}
-	o.raw = append(o.raw, b...)
-	if o.records++; len(o.raw) >= blockSize {
+	if o.records++; o.raw.Len() >= blockSize {
 		o.flush()
 	}
 }
@@ -142,7 +148,7 @@
 		return
 	}
 	dropped := int(o.w.dropped.Swap(0))
-	o.block = appendBlock(o.block[:0], o.z, o.raw, o.records, dropped)
+	o.block = appendBlock(o.block[:0], o.z, o.raw.Bytes(), o.records, dropped)
 	if err := o.write(o.block); err != nil {
 		o.w.dropped.Add(int64(dropped))
 		o.w.drop(o.records)
@@ -157,7 +163,8 @@
 		}
 		o.failing = false
 	}
-	o.raw, o.records = o.raw[:0], 0
+	o.raw.Reset()
+	o.records = 0
 }
 
 // write appends to the file, or begins one. What was written in part is taken back, so that a later block follows a whole
--- a/internal/settings/cuefile/cuefile.go
+++ b/internal/settings/cuefile/cuefile.go
@@ -36,6 +36,11 @@
 
 // Compile checks a text; name stands for it in errors.
 func Compile(name string, text []byte) (json []byte, err error) {
+	return CompileBy(schema, "#Settings", name, text)
+}
+
+// CompileBy checks a text against a definition of another schema.
+func CompileBy(schema, definition, name string, text []byte) (json []byte, err error) {
 	ctx := cuecontext.New()
 	rules := ctx.CompileString(schema, cue.Filename("schema.cue"))
 	if err := rules.Err(); err != nil {
@@ -43,17 +48,17 @@
 	}
 	file := ctx.CompileBytes(text, cue.Filename(name))
 	if err := file.Err(); err != nil {
-		return nil, mistakes(name, err)
+		return nil, mistakes(name, definition, err)
 	}
-	v := rules.LookupPath(cue.ParsePath("#Settings")).Unify(file)
+	v := rules.LookupPath(cue.ParsePath(definition)).Unify(file)
 	if err := v.Validate(cue.Concrete(true), cue.Final()); err != nil {
-		return nil, mistakes(name, err)
+		return nil, mistakes(name, definition, err)
 	}
 	return v.MarshalJSON()
 }
 
 // mistakes lists what is wrong, with the place in the file where there is one.
-func mistakes(name string, err error) Error {
+func mistakes(name, definition string, err error) Error {
 	var all Error
 	seen := map[string]bool{}
 	for _, e := range errors.Errors(err) {
@@ -69,7 +74,7 @@
 			continue // what was wrong with each choice follows
 		}
 		field := strings.Join(e.Path(), ".")
-		field = strings.TrimPrefix(strings.TrimPrefix(field, "#Settings"), ".")
+		field = strings.TrimPrefix(strings.TrimPrefix(field, definition), ".")
 		line := filepath.Base(name)
 		if at.IsValid() {
 			line += fmt.Sprint(":", at.Line())
--- a/lab/overhead.go
+++ b/lab/overhead.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"net/url"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,7 @@
 	Warm     time.Duration
 	Length   time.Duration // of each measurement
 	Rounds   int
+	Capture  bool // measure with capture on as well
 	Stderr   io.Writer
 }
 
@@ -71,13 +73,18 @@
 	for range c.Rounds {
 		for _, body := range c.Bodies {
 			for _, mb := range append([]int{0}, c.Memory...) {
-				m, err := c.measure(ctx, mb, body)
-				if err != nil {
-					return nil, err
+				for _, capture := range []bool{false, true} {
+					if capture && (!c.Capture || mb == 0) {
+						continue
+					}
+					m, err := c.measure(ctx, mb, body, capture)
+					if err != nil {
+						return nil, err
+					}
+					report.Runs = append(report.Runs, m)
+					report.AllUnder = report.AllUnder && m.Within
+					say(m)
 				}
-				report.Runs = append(report.Runs, m)
-				report.AllUnder = report.AllUnder && m.Within
-				say(m)
 			}
 		}
 	}
@@ -85,7 +92,7 @@
 }
 
 // measure is one run; without a limit of memory it is the proxy's.
-func (c OverheadConfig) measure(ctx context.Context, mb, body int) (m Measured, err error) {
+func (c OverheadConfig) measure(ctx context.Context, mb, body int, capture bool) (m Measured, err error) {
 	m = Measured{Program: "liftgauge", MemoryMB: mb, Body: body}
 	result := func(b []byte) []byte { return b }
 	if c.Result >= 0 {
@@ -96,7 +103,19 @@
 		return m, err
 	}
 	defer world.Close()
-	path := ""
+	path, settings := "", ""
+	if capture {
+		m.Program = "with capture"
+		dir, err := os.MkdirTemp("", "liftlab-")
+		if err != nil {
+			return m, err
+		}
+		defer os.RemoveAll(dir)
+		settings = filepath.Join(dir, "liftgauge.cue")
+		if err := os.WriteFile(settings, []byte("capture: folder: \""+dir+"\"\n"), 0o600); err != nil {
+			return m, err
+		}
+	}
 	var p *Process
 	if mb == 0 {
 		m.Program, path = "reverse-proxy", "/sync"
@@ -113,7 +132,7 @@
 			return m, err
 		}
 	} else if p, err = world.Daemon(ctx, DaemonConfig{Binary: c.Daemon, MemoryMB: mb, Sockets: c.Sockets, Patience: c.Patience,
-		Procs: 1, Stderr: c.Stderr}); err != nil {
+		Procs: 1, Stderr: c.Stderr, Settings: settings}); err != nil {
 		return m, err
 	}
 	defer p.Kill()
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,471 @@
+package plan
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"liftgauge/sim"
+)
+
+// Limit is a resource that may give way.
+type Limit struct {
+	Resource string  `json:"resource"`
+	Where    string  `json:"where"`     // a station, or "all"
+	Use      float64 `json:"use"`       // its part that is used at load factor 1; over 1 is more than there is
+	At       float64 `json:"at_factor"` // the load factor at which all of it is used; 0: never
+	Hard     bool    `json:"hard"`      // nothing else takes over when it gives way
+}
+
+// Bounds works out by hand how much of each resource a load uses, the fullest first.
+func (f *Fleet) Bounds() []Limit {
+	var all []Limit
+	add := func(resource, where string, use float64, hard bool) {
+		l := Limit{Resource: resource, Where: where, Use: use, Hard: hard}
+		if use > 0 {
+			l.At = 1 / use
+		}
+		all = append(all, l)
+	}
+	work := f.Load.Rate * f.work()
+	add("boxes' cores", "all", work/max(f.capacity(""), 1e-12), true)
+	stations, _, _ := f.Names()
+	dispatchers := 0
+	for _, s := range stations {
+		dispatchers += f.Stations[s].Dispatchers
+	}
+	speed := f.capacity("") / max(f.cores(), 1)
+	for _, s := range stations {
+		share := f.loadOf(s)
+		if own := f.capacity(s); own > 0 || share > 0 {
+			add("the station's own boxes", s, work*share/max(own, 1e-12), false)
+		}
+		d := f.Stations[s].Dispatchers
+		rate := f.Load.Rate * share
+		if d == 0 { // its clients go to others'
+			continue
+		}
+		rate /= float64(d)
+		add("a dispatcher's CPU", s, rate*time.Duration(f.Dispatcher.CPUPerJob).Seconds()/f.Dispatcher.Cores, true)
+		// A client holds its connection while its job is open; a quarter of the descriptors are for hosts.
+		open := rate * (f.work()/max(speed, 1e-12) + 2*time.Duration(f.Network.Crossing).Seconds())
+		add("a dispatcher's descriptors", s, open/(float64(f.Dispatcher.Sockets-32)*3/4), true)
+	}
+	// All dispatchers ask at once after discovery was away: that it takes longer than a watch is waited for counts as full.
+	add("discovery's calls", "all", float64(dispatchers)*time.Duration(f.Discovery.Call).Seconds()/2.5, true)
+	slices.SortStableFunc(all, func(a, b Limit) int { return cmpFloat(b.Use, a.Use) })
+	return all
+}
+
+func cmpFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (f *Fleet) cores() float64 {
+	n := 0
+	for _, s := range f.Stations {
+		for k, m := range s.Boxes {
+			n += m * min(f.Kinds[k].Cores, f.Kinds[k].Slots)
+		}
+	}
+	return float64(n)
+}
+
+// Estimate is a mean over days with half the width of its 95% interval.
+type Estimate struct {
+	Mean float64 `json:"mean"`
+	Half float64 `json:"half"`
+}
+
+func estimate(all []float64) Estimate {
+	if len(all) < 2 {
+		return Estimate{Mean: stat.Mean(all, nil)}
+	}
+	mean, sd := stat.MeanStdDev(all, nil)
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(all) - 1)}.Quantile(0.975)
+	return Estimate{mean, t * sd / math.Sqrt(float64(len(all)))}
+}
+
+// Verdict says whether a goal is kept.
+type Verdict string
+
+// The verdicts.
+const (
+	Kept     Verdict = "kept"
+	Missed   Verdict = "missed"
+	CantTell Verdict = "can't tell"
+)
+
+// against compares an estimate with a least value.
+func (e Estimate) against(goal float64) Verdict {
+	switch {
+	case e.Mean-e.Half >= goal:
+		return Kept
+	case e.Mean+e.Half < goal:
+		return Missed
+	}
+	return CantTell
+}
+
+// Outcome is what days of one kind show.
+type Outcome struct {
+	Name     string              `json:"name"`
+	Factor   float64             `json:"load_factor"`
+	Days     int                 `json:"days"`
+	Service  Estimate            `json:"service"`
+	Worst10s Estimate            `json:"worst_10s"`
+	InTime   map[string]Estimate `json:"in_time"`
+	P99      map[string]float64  `json:"p99_ms"`
+	Use      map[string]float64  `json:"utilisation"` // by station and kind
+	Lost     int64               `json:"lost"`
+	Broken   int64               `json:"rules_broken"` // boxes pushed over, and runs of what must not run twice
+	Tries    float64             `json:"tries"`        // of clients, for each job
+	Verdict  Verdict             `json:"verdict"`
+	Why      string              `json:"why"` // the goal that is missed or not decided by most
+}
+
+// Planner answers questions about one fleet.
+type Planner struct {
+	Fleet *Fleet
+	Seed  uint64
+	Least int // days at first; twice as many as long as a goal is not decided,
+	Most  int // and no more than this
+	// Done, if it is set, is told of each question that is answered.
+	Done func(Outcome)
+}
+
+// change makes a day of a kind of a world, such as one on which a station goes dark.
+type change func(w *sim.World)
+
+// Judge plays days of a fleet at a load factor until each goal is decided, or Most is reached. The days are those of the same
+// seeds for every fleet, so that two fleets differ by what they are alone.
+func (p *Planner) Judge(ctx context.Context, name string, f *Fleet, factor float64, with change) (Outcome, error) {
+	o := Outcome{Name: name, Factor: factor}
+	var days []*sim.Result
+	for n := max(p.Least, 2); ; n = min(2*n, p.Most) {
+		more := make([]*sim.Result, n-len(days))
+		group, inner := errgroup.WithContext(ctx)
+		group.SetLimit(runtime.GOMAXPROCS(0))
+		for i := range more {
+			group.Go(func() error {
+				if inner.Err() != nil {
+					return inner.Err()
+				}
+				seed := p.Seed<<20 + uint64(len(days)+i)
+				w := f.World(seed, factor)
+				if with != nil {
+					with(w)
+				}
+				more[i] = sim.Run(w, seed)
+				return nil
+			})
+		}
+		if err := group.Wait(); err != nil {
+			return o, err
+		}
+		days = append(days, more...)
+		p.sum(&o, f, days)
+		if o.Verdict != CantTell || n >= p.Most {
+			if p.Done != nil {
+				p.Done(o)
+			}
+			return o, nil
+		}
+	}
+}
+
+// sum makes an outcome of days.
+func (p *Planner) sum(o *Outcome, f *Fleet, days []*sim.Result) {
+	stations, kinds, classes := f.Names()
+	var service, worst []float64
+	inTime := make([][]float64, len(classes))
+	o.InTime, o.P99, o.Use = map[string]Estimate{}, map[string]float64{}, map[string]float64{}
+	o.Days, o.Lost, o.Broken, o.Tries = len(days), 0, 0, 0
+	type sum struct{ use, n float64 }
+	use := map[string]sum{}
+	offered := int64(0)
+	for _, d := range days {
+		service, worst = append(service, d.Service), append(worst, d.Worst)
+		o.Broken += int64(d.Falls) + d.Duplicates
+		o.Tries += float64(d.Tries)
+		for c := range classes {
+			x := d.Classes[c]
+			share := 1.0
+			if x.Offered > 0 {
+				share = float64(x.InTime) / float64(x.Offered)
+			}
+			inTime[c] = append(inTime[c], share)
+			o.Lost += x.Lost
+			offered += x.Offered
+			o.P99[classes[c]] += float64(x.Latency.ValueAtPercentile(99)) / 1000 / float64(len(days))
+		}
+		for _, b := range d.Boxes {
+			key := stations[b.Station] + "/" + kinds[b.Kind]
+			s := use[key]
+			use[key] = sum{s.use + b.Utilisation, s.n + 1}
+		}
+	}
+	o.Tries /= float64(max(offered, 1))
+	for key, s := range use {
+		o.Use[key] = s.use / s.n
+	}
+	o.Service, o.Worst10s = estimate(service), estimate(worst)
+	o.Verdict, o.Why = Kept, "all goals are kept"
+	judge := func(what string, e Estimate, goal float64) {
+		if goal <= 0 {
+			return
+		}
+		v := e.against(goal)
+		if v == Kept || o.Verdict == Missed || o.Verdict == v {
+			return
+		}
+		o.Verdict, o.Why = v, fmt.Sprintf("%s %.3f ± %.3f, wanted %.3f", what, e.Mean, e.Half, goal)
+	}
+	judge("service", o.Service, f.Goals.Service)
+	judge("the worst 10 s", o.Worst10s, f.Goals.Worst10s)
+	for c, name := range classes {
+		o.InTime[name] = estimate(inTime[c])
+		judge(name+" in time", o.InTime[name], f.Goals.InTime[name])
+	}
+	if o.Broken > 0 {
+		o.Verdict, o.Why = Missed, fmt.Sprint(o.Broken, " times a box was pushed over or a job ran twice")
+	}
+}
+
+// Answer is all that a plan says.
+type Answer struct {
+	Seed     uint64    `json:"seed"`
+	Boxes    int       `json:"boxes"`
+	Bounds   []Limit   `json:"bounds"`
+	Today    Outcome   `json:"today"`
+	Tip      float64   `json:"tip"` // the highest load factor found at which the goals are kept; 0: none
+	Next     float64   `json:"tip_missed"`
+	First    []Limit   `json:"first_to_give_way"` // at the tip, the fullest first
+	Fewest   int       `json:"fewest_boxes"`      // that keep the goals at load factor 1; 0: not known
+	Fleet    string    `json:"fewest_why"`
+	Curve    []Outcome `json:"curve"`
+	WhatIf   []Outcome `json:"what_if"`
+	Partial  bool      `json:"partial"`
+	Timeline []sim.Window
+	Lost     string  `json:"timeline_of"`
+	Seconds  float64 `json:"seconds"`
+}
+
+// Plan answers all questions. Where the context ends it returns what is known so far, as partial.
+func (p *Planner) Plan(ctx context.Context) (*Answer, error) {
+	start := time.Now()
+	a := &Answer{Seed: p.Seed, Boxes: p.Fleet.Boxes(), Bounds: p.Fleet.Bounds()}
+	steps := []func(context.Context, *Answer) error{p.today, p.curve, p.tip, p.fewest, p.whatIf}
+	for _, step := range steps {
+		if err := step(ctx, a); err != nil {
+			if ctx.Err() == nil {
+				return nil, err
+			}
+			a.Partial = true
+			break
+		}
+	}
+	a.Seconds = time.Since(start).Seconds()
+	return a, nil
+}
+
+func (p *Planner) today(ctx context.Context, a *Answer) (err error) {
+	a.Today, err = p.Judge(ctx, "today", p.Fleet, 1, nil)
+	return err
+}
+
+func (p *Planner) curve(ctx context.Context, a *Answer) error {
+	for _, x := range []float64{0.5, 0.75, 1.25, 1.5, 2, 2.5, 3} {
+		o, err := p.Judge(ctx, fmt.Sprintf("load x %.2f", x), p.Fleet, x, nil)
+		if err != nil {
+			return err
+		}
+		a.Curve = append(a.Curve, o)
+	}
+	a.Curve = append(a.Curve, a.Today)
+	slices.SortFunc(a.Curve, func(x, y Outcome) int { return cmpFloat(x.Factor, y.Factor) })
+	return nil
+}
+
+// tip finds the load factor at which the goals are missed first, and names what is fullest there.
+func (p *Planner) tip(ctx context.Context, a *Answer) error {
+	if p.Fleet.Load.Rate <= 0 {
+		return nil
+	}
+	low, high := 0.0, math.Inf(1)
+	for _, o := range a.Curve {
+		switch {
+		case o.Verdict == Kept && o.Factor < high:
+			low = max(low, o.Factor)
+		case o.Verdict != Kept:
+			high = min(high, o.Factor)
+		}
+	}
+	if math.IsInf(high, 1) {
+		a.Tip, a.Next = low, 0
+	} else {
+		for range 6 {
+			if high-low <= 0.03*high {
+				break
+			}
+			mid := (low + high) / 2
+			o, err := p.Judge(ctx, fmt.Sprintf("load x %.2f", mid), p.Fleet, mid, nil)
+			if err != nil {
+				return err
+			}
+			if o.Verdict == Kept {
+				low = mid
+			} else {
+				high = mid
+			}
+		}
+		a.Tip, a.Next = low, high
+	}
+	at := a.Next
+	if at == 0 {
+		at = a.Tip
+	}
+	for _, l := range a.Bounds {
+		l.Use *= at
+		a.First = append(a.First, l)
+	}
+	slices.SortStableFunc(a.First, func(x, y Limit) int {
+		if x.Hard != y.Hard { // what others take over for does not stop the fleet
+			if x.Hard {
+				return -1
+			}
+			return 1
+		}
+		return cmpFloat(y.Use, x.Use)
+	})
+	a.First = a.First[:min(3, len(a.First))]
+	return nil
+}
+
+// fewest finds the smallest fleet in today's proportions that keeps the goals, by bisection.
+func (p *Planner) fewest(ctx context.Context, a *Answer) error {
+	if p.Fleet.Load.Rate <= 0 {
+		a.Fewest, a.Fleet = 1, "there is no load"
+		return nil
+	}
+	// Below this many no policy can do the work.
+	low := int(float64(a.Boxes) * a.Bounds[slices.IndexFunc(a.Bounds, func(l Limit) bool { return l.Resource == "boxes' cores" })].Use)
+	low = max(low, 1) - 1
+	high, last := 0, Outcome{}
+	for n := max(a.Boxes, low+1); n <= 8*max(a.Boxes, low+1); n += max(n/2, 1) {
+		o, err := p.Judge(ctx, fmt.Sprint(n, " boxes"), p.Fleet.Scaled(n), 1, nil)
+		if err != nil {
+			return err
+		}
+		if last = o; o.Verdict == Kept {
+			high = n
+			break
+		}
+		low = n
+	}
+	if high == 0 {
+		a.Fleet = "no fleet in these proportions keeps the goals: " + last.Why + a.forbids()
+		return nil
+	}
+	unknown := false
+	for high-low > 1 {
+		mid := (low + high) / 2
+		o, err := p.Judge(ctx, fmt.Sprint(mid, " boxes"), p.Fleet.Scaled(mid), 1, nil)
+		if err != nil {
+			return err
+		}
+		if o.Verdict == Kept {
+			high = mid
+		} else {
+			low, unknown = mid, o.Verdict == CantTell
+		}
+	}
+	a.Fewest, a.Fleet = high, fmt.Sprint(high, " boxes keep the goals with 95% confidence")
+	if unknown {
+		a.Fleet += fmt.Sprint("; whether ", low, " do can't be told from ", p.Most, " days")
+	}
+	return nil
+}
+
+// forbids names a limit that boxes do not lift.
+func (a *Answer) forbids() string {
+	for _, l := range a.Bounds {
+		if l.Hard && l.Resource != "boxes' cores" && l.Use >= 0.9 {
+			return fmt.Sprintf("; %s in %s is %.0f%% used", l.Resource, l.Where, 100*l.Use)
+		}
+	}
+	return "; even where boxes are idle"
+}
+
+// whatIf loses each station, the largest boxes, and deploys.
+func (p *Planner) whatIf(ctx context.Context, a *Answer) error {
+	stations, _, _ := p.Fleet.Names()
+	third := p.Fleet.length() / 3
+	ask := func(name string, faults func(w *sim.World) []sim.Fault) error {
+		o, err := p.Judge(ctx, name, p.Fleet, 1, func(w *sim.World) { w.Faults = faults(w) })
+		if err == nil {
+			a.WhatIf = append(a.WhatIf, o)
+		}
+		return err
+	}
+	worst := 2.0
+	for i, s := range stations {
+		for _, kind := range []struct {
+			name    string
+			effects []sim.Effect
+		}{{"boxes", []sim.Effect{sim.StationBoxes}}, {"links", []sim.Effect{sim.StationLinks}}, {"boxes and clients", []sim.Effect{sim.StationBoxes, sim.StationUsers}}} {
+			faults := func(*sim.World) (all []sim.Fault) {
+				for _, e := range kind.effects {
+					all = append(all, sim.Fault{At: third, Effect: e, Target: i, For: third})
+				}
+				return all
+			}
+			if err := ask(fmt.Sprintf("%s goes dark: %s", s, kind.name), faults); err != nil {
+				return err
+			}
+			if o := a.WhatIf[len(a.WhatIf)-1]; kind.name == "boxes" && o.Service.Mean < worst {
+				worst = o.Service.Mean
+				w := p.Fleet.World(p.Seed<<20, 1)
+				w.Faults, w.Window = faults(w), 2*time.Second
+				a.Timeline, a.Lost = sim.Run(w, p.Seed<<20).Windows, s
+			}
+		}
+	}
+	for k := 1; k <= min(3, a.Boxes-1); k++ {
+		if err := ask(fmt.Sprintf("the %d largest boxes vanish", k), func(w *sim.World) (all []sim.Fault) {
+			order := make([]int, len(w.Boxes))
+			for i := range order {
+				order[i] = i
+			}
+			slices.SortStableFunc(order, func(x, y int) int {
+				kx, ky := w.Kinds[w.Boxes[x].Kind], w.Kinds[w.Boxes[y].Kind]
+				return cmpFloat(ky.Speed*float64(ky.Cores), kx.Speed*float64(kx.Cores))
+			})
+			for _, i := range order[:k] {
+				all = append(all, sim.Fault{At: third, Effect: sim.BoxVanishes, Target: i, For: third})
+			}
+			return all
+		}); err != nil {
+			return err
+		}
+	}
+	return ask("a rolling deploy of all boxes", func(w *sim.World) (all []sim.Fault) {
+		for i := range w.Boxes {
+			all = append(all, sim.Fault{At: third/2 + 2*third*time.Duration(i)/time.Duration(len(w.Boxes)), Effect: sim.BoxDrains, Target: i, For: time.Second})
+		}
+		return all
+	})
+}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -163,6 +163,9 @@
 }
 
 // stream is a source of chance with a name: nobody else draws from it.
+// Stream is a source of chance with a name: nobody else draws from it.
+func Stream(seed uint64, name string) *rand.Rand { return stream(seed, name) }
+
 func stream(seed uint64, name string) *rand.Rand {
 	text := binary.BigEndian.AppendUint64(nil, seed)
 	return rand.New(rand.NewChaCha8(sha256.Sum256(append(text, name...))))
