Hold the planner's forecasts against loopback runs; fit work, speeds and cold starts

Captured records have the age of the host's process, and a plan from captured load fits the work of each class, the speed of kinds that the fleet file leaves out and what boxes do just after a start, with intervals. demo captures its load.

--- a/cmd/liftgauge/capture.go
+++ b/cmd/liftgauge/capture.go
@@ -77,12 +77,20 @@
 		}
 		for _, a := range attempts {
 			rec.Attempts = append(rec.Attempts, capture.Attempt{Host: a.Host.Name, Kind: a.Host.Worker.Kind, Zone: a.Host.Worker.Zone,
-				Sent: since(a.Sent()), Began: since(a.Began()), Ended: since(a.Ended()), Status: uint8(a.Status())})
+				Sent: since(a.Sent()), Began: since(a.Began()), Ended: since(a.Ended()), Status: uint8(a.Status()), Age: age(a)})
 		}
 		r.Put(rec)
 	}
 }
 
+// age is how long a host's process had been there when it was sent something.
+func age(a *owner.Attempt) int64 {
+	if up := a.Host.Worker.Up; up > 0 && a.Sent() >= up {
+		return int64(a.Sent() - up)
+	}
+	return -1
+}
+
 func (r *records) figures() []control.Figure {
 	if r == nil {
 		return nil
--- a/cmd/liftlab/main.go
+++ b/cmd/liftlab/main.go
@@ -76,6 +76,7 @@
 	f.IntVar(&c.Hosts, "hosts", 8, "HTTP hosts")
 	f.IntVar(&c.Workers, "workers", 8, "Gearman workers")
 	f.IntVar(&c.Clients, "clients", 8, "clients of each kind")
+	f.StringVar(&c.Capture, "capture", "", "a folder into which the daemon captures the load")
 	f.DurationVar(&c.For, "for", 0, "how long; 0 until Ctrl-C")
 	return cmd
 }
--- /dev/null
+++ b/cmd/liftlab/main_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"liftgauge/internal/capture"
+)
+
+// run runs a command and returns what it prints.
+func run(args ...string) (out, errs string, err error) {
+	cmd := root()
+	var o, e bytes.Buffer
+	cmd.SetOut(&o)
+	cmd.SetErr(&e)
+	cmd.SetArgs(args)
+	err = cmd.Execute()
+	return o.String(), e.String(), err
+}
+
+// file writes a capture of a dispatcher whose clock is off by so many nanoseconds.
+func file(t *testing.T, dir, name string, n int, off int64, h capture.Header) string {
+	t.Helper()
+	var all []capture.Record
+	for i := range n {
+		all = append(all, capture.Record{Arrived: 1e18 + int64(i)*1e8 + off, Class: i % 2, Patience: 5e9, End: capture.Served, Took: 2e8,
+			Attempts: []capture.Attempt{{Host: "s-1", Began: 1e7, Ended: 1e8, Status: 1, Age: -1}}})
+	}
+	h.Name = name
+	var b bytes.Buffer
+	if err := capture.Create(&b, h, all); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, name+capture.Ending)
+	if err := os.WriteFile(path, b.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestCapture: two dispatchers' files, one with a clock that is 300 ms off, are put together, cut and counted, and are not
+// changed by it; a file that is cut off says so.
+func TestCapture(t *testing.T) {
+	dir := t.TempDir()
+	h := capture.Header{Classes: []string{"reading", "warning"}}
+	a, b := file(t, dir, "n0", 50, 0, h), file(t, dir, "n1", 50, 3e8+5e7, h)
+	before, _ := os.ReadFile(b)
+	all, part := filepath.Join(dir, "all"), filepath.Join(dir, "part")
+	if out, _, err := run("capture", "merge", "--shift", "n1=-300ms", all, a, b); err != nil || !strings.Contains(out, "100 records") {
+		t.Fatal(out, err)
+	}
+	if out, _, err := run("capture", "cut", "--from", "1s", "--to", "2s", all, part); err != nil || !strings.Contains(out, "20 records") {
+		t.Error(out, err)
+	}
+	out, _, err := run("capture", "show", "--most", "4", all)
+	if lines := strings.Split(strings.TrimSpace(out), "\n"); err != nil || len(lines) != 4 || !strings.Contains(lines[1], ".05Z") || !strings.Contains(lines[2], ".1Z") {
+		t.Error(out, err)
+	}
+	if after, _ := os.ReadFile(b); !bytes.Equal(before, after) {
+		t.Error("reading changed a file")
+	}
+	if _, _, err := run("capture", "merge", all, a, b); err == nil {
+		t.Error("written over a file that was there")
+	}
+	if err := os.Truncate(a, int64(len(before)-7)); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, err := run("capture", "stats", a, b)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	var report struct {
+		Classes []classStats
+		Cut     int `json:"cut_files"`
+	}
+	if json.Unmarshal([]byte(lines[len(lines)-1]), &report); err != nil || report.Cut != 1 || !strings.Contains(errs, "cut off") || len(report.Classes) != 2 {
+		t.Error(out, errs, err)
+	}
+	other := file(t, dir, "n2", 5, 0, capture.Header{Classes: []string{"another"}})
+	if _, _, err := run("capture", "merge", filepath.Join(dir, "x"), b, other); err == nil || !strings.Contains(err.Error(), "are not those of") {
+		t.Errorf("files of other classes were put together: %v", err)
+	}
+	if _, _, err := run("capture", "stats", os.DevNull); err == nil {
+		t.Error("no capture file was taken for one")
+	}
+}
+
+// TestPlan: a fleet file with a mistake is one line and an error; one without is planned.
+func TestPlan(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f.cue")
+	text, err := os.ReadFile("../../docs/fleet.cue")
+	if err != nil {
+		t.Fatal(err)
+	}
+	small := strings.Replace(string(text), `length: "45s"`, `length: "5s"`, 1)
+	for _, c := range []struct{ text, want string }{{small, ""}, {strings.Replace(small, "speed: 0.7", "speed: -0.7", 1), "f.cue:12: kinds.\"slow-box\".speed: invalid value -0.7"}} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for _, command := range [][]string{{"check", path}, {"plan", path, "--least", "2", "--most", "2", "--json", "--html", path + ".html"}} {
+			out, _, err := run(command...)
+			if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n")) {
+				t.Errorf("%s: %v, want %q", command[0], err, c.want)
+			}
+			if c.want == "" && command[0] == "plan" {
+				lines := strings.Split(strings.TrimSpace(out), "\n")
+				if !json.Valid([]byte(lines[len(lines)-1])) {
+					t.Error("the last line is no JSON")
+				}
+			}
+		}
+	}
+}
--- a/cmd/liftlab/plan.go
+++ b/cmd/liftlab/plan.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/vbauerster/mpb/v8"
@@ -21,7 +22,7 @@
 	return &cobra.Command{
 		Use: "check FLEET.cue", Short: "Validate a fleet file and say what it holds", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			f, err := plan.LoadFleet(args[0])
+			f, err := plan.LoadFleet(args[0], true)
 			if err != nil {
 				return err
 			}
@@ -45,7 +46,7 @@
 			"decided. The last line is JSON with --json. Ctrl-C prints what is known so far, as partial.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			f, err := plan.LoadFleet(args[0])
+			f, err := plan.LoadFleet(args[0], len(captured) > 0)
 			if err != nil {
 				return err
 			}
@@ -88,6 +89,7 @@
 			return nil
 		},
 	}
+	cmd.AddCommand(verifyCommand(), speedCommand())
 	fl := cmd.Flags()
 	fl.Uint64Var(&p.Seed, "seed", 1, "of the days; the same seed gives the same plan")
 	fl.IntVar(&p.Least, "least", 8, "days for each question at first")
@@ -98,6 +100,69 @@
 	return cmd
 }
 
+func verifyCommand() *cobra.Command {
+	c := lab.VerifyConfig{}
+	cmd := &cobra.Command{
+		Use:   "verify",
+		Short: "Draw fleets and loads, forecast each, play it on loopback, and compare; the last line is JSON",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c.Stderr = cmd.ErrOrStderr()
+			if c.Cases < 1 || c.Length < time.Second {
+				return errors.New("want at least one case and a second")
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%4s %5s %8s %6s %17s %17s %19s %19s %15s %7s  %s\n", "case", "boxes", "jobs/s", "load", "reading in time", "warning in time", "p50 ms", "p99 ms",
+				"utilisation", "error", "largest of")
+			report, err := lab.Verify(cmd.Context(), c, func(x lab.Case) {
+				f, s := x.Forecast, x.Seen
+				fmt.Fprintf(out, "%4d %5d %8.1f %6.2f %8.3f %8.3f %8.3f %8.3f %9.1f %9.1f %9.1f %9.1f %7.3f %7.3f %6.1f%%  %s\n", x.Number, x.Boxes, x.Rate, x.Load,
+					f.InTime["gauge-reading"], s.InTime["gauge-reading"], f.InTime["send-warning"], s.InTime["send-warning"], f.P50, s.P50, f.P99, s.P99,
+					f.Utilisation, s.Utilisation, 100*x.Error, x.Of)
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "%d of %d within 10%%, %d within 20%%; p99 within 20%% in %d\n", report.Within10, report.Count, report.Within20, report.P99In20)
+			return lastLine(cmd, report)
+		},
+	}
+	fl := cmd.Flags()
+	fl.StringVar(&c.Daemon, "daemon", beside(), "the daemon's binary")
+	fl.Uint64Var(&c.Seed, "seed", 1, "of what is drawn")
+	fl.IntVar(&c.Cases, "cases", 20, "fleets and loads to draw")
+	fl.IntVar(&c.Beside, "beside", 4, "cases to play at a time")
+	fl.DurationVar(&c.Length, "length", 20*time.Second, "of each case's load")
+	fl.IntVar(&c.Days, "days", 5, "emulated runs of each forecast")
+	return cmd
+}
+
+func speedCommand() *cobra.Command {
+	var boxes, dispatchers []int
+	var length time.Duration
+	cmd := &cobra.Command{
+		Use:   "speed",
+		Short: "Measure how fast the emulator plays worlds of several sizes on one core; the last line is JSON",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%6s %12s %9s %12s %10s %12s %9s\n", "boxes", "dispatchers", "jobs/s", "sim s per s", "events", "allocated MB", "service")
+			all, err := lab.Speeds(cmd.Context(), boxes, dispatchers, length, func(s lab.Speed) {
+				fmt.Fprintf(out, "%6d %12d %9.0f %12.1f %10d %12.1f %9.3f\n", s.Boxes, s.Dispatchers, s.Rate, s.Ratio, s.Events, s.HeapMB, s.Service)
+			})
+			if err != nil {
+				return err
+			}
+			return lastLine(cmd, map[string]any{"runs": all})
+		},
+	}
+	fl := cmd.Flags()
+	fl.IntSliceVar(&boxes, "boxes", []int{20, 200, 2000}, "numbers of boxes")
+	fl.IntSliceVar(&dispatchers, "dispatchers", []int{3, 30, 300}, "numbers of dispatchers")
+	fl.DurationVar(&length, "length", 20*time.Second, "of each day")
+	return cmd
+}
+
 // useCaptured reads capture files and says what was fitted from them.
 func useCaptured(cmd *cobra.Command, f *plan.Fleet, files []string) error {
 	var all []capture.Record
@@ -118,10 +183,13 @@
 			fmt.Fprintln(cmd.OutOrStdout(), text)
 		}
 	}
-	fitted, err := f.UseCaptured(head, all)
+	fitted, speeds, err := f.UseCaptured(head, all)
 	if err != nil {
 		return err
 	}
+	for _, x := range speeds {
+		fmt.Fprintf(cmd.OutOrStdout(), "fitted from %d runs on %s: %s\n", x.Runs, x.Kind, x)
+	}
 	for _, x := range fitted {
 		fmt.Fprintf(cmd.OutOrStdout(), "fitted from %d of %d records of %s: work %.4f ± %.4f s; %d left out\n", x.Runs, x.Records, x.Class, x.Work.Mean, x.Work.Half, x.Skipped)
 	}
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -46,6 +46,7 @@
 	Began  int64
 	Ended  int64
 	Status uint8 // as balance.Status has it
+	Age    int64 // of the host's process when it was sent; -1: started long ago, or not known
 }
 
 // The ends of a message.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -24,7 +25,7 @@
 
 // Member is how discovery lists a host that serves.
 func (h *Host) Member() Member {
-	return Member{ID: h.Name, HostPort: h.Address, Locality: h.Zone, Flavor: h.Kind, Cell: h.Cell, Phase: "SERVING", Size: 1}
+	return Member{ID: h.Name, HostPort: h.Address, Locality: h.Zone, Flavor: h.Kind, Cell: h.Cell, Phase: "SERVING", Size: cmp.Or(h.Size, 1)}
 }
 
 // List is what discovery says: all members, or those that changed.
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -20,9 +20,11 @@
 	Zone   string
 	Kind   string
 	Cell   int
-	Slots  int           // jobs that run side by side
-	Queue  int           // jobs that may wait for a slot; one more is turned away unseen
-	Job    time.Duration // how long a job runs
+	Slots  int                             // jobs that run side by side
+	Queue  int                             // jobs that may wait for a slot; one more is turned away unseen
+	Job    time.Duration                   // how long a job runs
+	JobOf  func(body []byte) time.Duration // the same by its data, if it is set
+	Size   float64                         // as discovery lists it; 0 for 1
 	Result func(body []byte) []byte
 	ID     func(body []byte) string // finds the ledger's name of a job; nil for its id
 	Starts bool                     // it tells of starts
@@ -45,6 +47,7 @@
 	stop     context.CancelFunc
 	jobs     sync.WaitGroup
 	held     atomic.Int64
+	busy     atomic.Int64 // nanoseconds that slots were taken
 	slots    chan struct{}
 	drains   atomic.Bool
 	mu       sync.Mutex
@@ -79,6 +82,9 @@
 // Held is how many jobs run or wait here.
 func (h *Host) Held() int { return int(h.held.Load()) }
 
+// Busy is for how long slots were taken, added up.
+func (h *Host) Busy() time.Duration { return time.Duration(h.busy.Load()) }
+
 // Close ends the host at once: its connections are reset, its jobs forgotten.
 func (h *Host) Close() {
 	h.stop()
@@ -154,8 +160,14 @@
 	if h.Starts {
 		h.jobs.Go(func() { h.tell(id, "started", nil) })
 	}
+	job := h.Job
+	if h.JobOf != nil {
+		job = h.JobOf(body)
+	}
+	begun := time.Now()
+	defer func() { h.busy.Add(int64(time.Since(begun))) }()
 	select {
-	case <-time.After(h.Job):
+	case <-time.After(job):
 	case <-ctx.Done():
 		h.tell(id, "lost", nil)
 		return
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	Workers int
 	Clients int
 	For     time.Duration // 0: until the context ends
+	Capture string        // a folder for captured load; empty for none
 	Out     io.Writer
 	Stderr  io.Writer
 	Live    bool // the line is written over itself
@@ -36,7 +38,11 @@
 	}
 	g := GearmanConfig{Daemon: c.Daemon, Workers: c.Workers, Hosts: c.Hosts, Memory: 64, Stderr: c.Stderr}
 	var drop atomic.Bool
-	w, err := g.world(ctx, mixedRoutes, 20*time.Millisecond, func(string) bool { return drop.Swap(false) })
+	routes := mixedRoutes
+	if c.Capture != "" {
+		routes += "}\ncapture: {\n\tfolder: " + strconv.Quote(c.Capture) + "\n"
+	}
+	w, err := g.world(ctx, routes, 20*time.Millisecond, func(string) bool { return drop.Swap(false) })
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/lab/verify.go
@@ -0,0 +1,273 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+
+	"liftgauge/internal/standin"
+	"liftgauge/plan"
+	"liftgauge/sim"
+)
+
+// VerifyConfig is what liftlab verify plays.
+type VerifyConfig struct {
+	Daemon string
+	Seed   uint64
+	Cases  int
+	Beside int // cases that are played at a time
+	Length time.Duration
+	Days   int // of each forecast
+	Stderr io.Writer
+}
+
+// Figures are what is forecast and then seen.
+type Figures struct {
+	InTime      map[string]float64 `json:"in_time"` // by class
+	P50         float64            `json:"p50_ms"`
+	P99         float64            `json:"p99_ms"`
+	Utilisation float64            `json:"utilisation"`
+}
+
+// Case is one drawn fleet with its load.
+type Case struct {
+	Number   int     `json:"case"`
+	Boxes    int     `json:"boxes"`
+	Rate     float64 `json:"jobs_per_s"`
+	Load     float64 `json:"load"` // work asked for over what the boxes can do
+	Jobs     int     `json:"jobs"`
+	Forecast Figures `json:"forecast"`
+	Seen     Figures `json:"seen"`
+	Error    float64 `json:"error"`        // the largest of the relative errors,
+	Of       string  `json:"largest_of"`   // and of what
+	P99Error float64 `json:"p99_error"`    // by itself: a few jobs decide it
+	Late     float64 `json:"sent_late_ms"` // the load's own lateness, at its 99th percentile
+}
+
+// VerifyReport is the last line of liftlab verify.
+type VerifyReport struct {
+	Seed     uint64 `json:"seed"`
+	Count    int    `json:"cases"`
+	Within10 int    `json:"within_10"`
+	Within20 int    `json:"within_20"`
+	P99In20  int    `json:"p99_within_20"`
+	Cases    []Case `json:"all"`
+}
+
+// Verify draws fleets and loads, forecasts each, plays it on loopback with stand-in boxes and the real daemon, and compares.
+func Verify(ctx context.Context, c VerifyConfig, say func(Case)) (*VerifyReport, error) {
+	report := &VerifyReport{Seed: c.Seed, Count: c.Cases, Cases: make([]Case, c.Cases)}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(c.Beside, 1))
+	var mu sync.Mutex
+	for i := range c.Cases {
+		group.Go(func() error {
+			one, err := c.play(ctx, i)
+			if err != nil {
+				return fmt.Errorf("case %d: %w", i, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			report.Cases[i] = one
+			say(one)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for _, one := range report.Cases {
+		if one.Error <= 0.1 {
+			report.Within10++
+		}
+		if one.Error <= 0.2 {
+			report.Within20++
+		}
+		if one.P99Error <= 0.2 {
+			report.P99In20++
+		}
+	}
+	return report, nil
+}
+
+// draw makes a fleet and a load. Boxes are small and jobs slow, so that the machine's own noise is not what is measured.
+func (c VerifyConfig) draw(i int) (*plan.Fleet, float64, error) {
+	rng := rand.New(rand.NewChaCha8([32]byte{byte(c.Seed), byte(c.Seed >> 8), byte(i), byte(i >> 8)}))
+	full, slow := 1+rng.IntN(4), rng.IntN(4)
+	cores, queue := 1+rng.IntN(3), 2+rng.IntN(5)
+	speed := 0.5 + 0.4*rng.Float64()
+	mean := time.Duration(40+rng.IntN(80)) * time.Millisecond
+	load := 0.35 + 0.75*rng.Float64()
+	capacity := (float64(full) + float64(slow)*speed) * float64(cores)
+	text := fmt.Sprintf(`
+stations: %s: {boxes: {%q: %d, %q: %d}}
+network: {local: "200us", jitter: 0.2}
+kinds: {%q: {cores: %d, queue: %d, speed: 1}, %q: {cores: %d, queue: %d, speed: %g}}
+classes: {
+	%q: {aim: "200ms", stretch: 2.5, worth: 2, lateWorth: 0.25, effect: "keyed", mix: 1, work: {mean: %q, spread: 0.5}}
+	%q: {aim: "200ms", stretch: 2.5, worth: 10, lateWorth: 0.2, effect: "unsafe", mix: 1, work: {mean: %q, spread: 0.5}}
+}
+load: {rate: %g, length: %q}
+retry: most: 0
+`, Zones[0], Kinds[0], full, Kinds[1], slow, Kinds[0], cores, queue, Kinds[1], cores, queue, speed, classNames[0], mean, classNames[1], mean,
+		load*capacity/mean.Seconds(), c.Length)
+	f, err := plan.Parse("drawn", []byte(text), false)
+	return f, load, err
+}
+
+func (c VerifyConfig) play(ctx context.Context, i int) (Case, error) {
+	f, load, err := c.draw(i)
+	if err != nil {
+		return Case{}, err
+	}
+	w := f.World(c.Seed<<8+uint64(i), 1)
+	one := Case{Number: i, Boxes: len(w.Boxes), Rate: f.Load.Rate, Load: load, Jobs: len(w.Arrivals)}
+	one.Forecast = c.forecast(w)
+	if one.Seen, one.Late, err = c.loopback(ctx, w); err != nil {
+		return one, err
+	}
+	worse := func(what string, forecast, seen, least float64) {
+		if e := math.Abs(forecast-seen) / max(seen, least); e > one.Error {
+			one.Error, one.Of = e, what
+		}
+	}
+	for _, name := range classNames {
+		worse(name+" in time", one.Forecast.InTime[name], one.Seen.InTime[name], 0.2)
+	}
+	worse("p50", one.Forecast.P50, one.Seen.P50, 1)
+	worse("utilisation", one.Forecast.Utilisation, one.Seen.Utilisation, 0.1)
+	one.P99Error = math.Abs(one.Forecast.P99-one.Seen.P99) / max(one.Seen.P99, 1)
+	return one, nil
+}
+
+// forecast plays the very jobs in the emulator, several times, as the dispatchers' own chance differs.
+func (c VerifyConfig) forecast(w *sim.World) Figures {
+	f := Figures{InTime: map[string]float64{}}
+	for day := range max(c.Days, 1) {
+		r := sim.Run(w, uint64(day))
+		n := float64(max(c.Days, 1))
+		all := newHistogram()
+		for k, class := range r.Classes {
+			f.InTime[w.Classes[k].Name] += float64(class.InTime) / float64(max(class.Offered, 1)) / n
+			all.Merge(class.Latency)
+		}
+		f.P50 += float64(all.ValueAtPercentile(50)) / 1000 / n
+		f.P99 += float64(all.ValueAtPercentile(99)) / 1000 / n
+		use, cores := 0.0, 0.0
+		for b, box := range r.Boxes {
+			k := float64(w.Kinds[w.Boxes[b].Kind].Cores)
+			use, cores = use+box.Utilisation*k, cores+k
+		}
+		f.Utilisation += use / cores / n
+	}
+	return f
+}
+
+// loopback plays the jobs with stand-in boxes and the real daemon. Times count from when a job was to be sent.
+func (c VerifyConfig) loopback(ctx context.Context, w *sim.World) (f Figures, late float64, err error) {
+	world, err := StartWorld(WorldConfig{Hosts: len(w.Boxes), Result: standin.Filled(16), ID: head, Each: func(i int, h *standin.HostConfig) {
+		k := w.Kinds[w.Boxes[i].Kind]
+		h.Kind, h.Slots, h.Queue, h.Size, h.Cell = k.Name, k.Slots, k.Queue, k.Speed*float64(k.Cores), w.Boxes[i].Cell
+		h.JobOf = func(body []byte) time.Duration {
+			_, text, _ := bytes.Cut(body, []byte{' '})
+			us, _ := strconv.ParseFloat(string(text), 64)
+			return time.Duration(us / k.Speed * float64(time.Microsecond))
+		}
+	}})
+	if err != nil {
+		return f, 0, err
+	}
+	defer world.Close()
+	p, err := world.Daemon(ctx, DaemonConfig{Binary: c.Daemon, MemoryMB: 64, Sockets: 1024, Patience: 5 * time.Second, Procs: 1, Stderr: c.Stderr,
+		Args: []string{"--log-level", "error"}})
+	if err != nil {
+		return f, 0, err
+	}
+	defer p.Kill()
+	transport := &http.Transport{MaxIdleConnsPerHost: 600}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	took, inTime, offered := newHistogram(), map[string]int{}, map[string]int{}
+	var mu sync.Mutex
+	var lates []float64
+	var jobs sync.WaitGroup
+	start := time.Now().Add(50 * time.Millisecond)
+	for n, a := range w.Arrivals {
+		select {
+		case <-time.After(time.Until(start.Add(a.At))):
+		case <-ctx.Done():
+			jobs.Wait()
+			return f, 0, ctx.Err()
+		}
+		sent := time.Since(start.Add(a.At))
+		jobs.Go(func() {
+			class := w.Classes[a.Class]
+			status := postHinted(client, world.Listen, class.Name, fmt.Sprintf("%016x", n+1), a)
+			t := time.Since(start.Add(a.At))
+			mu.Lock()
+			defer mu.Unlock()
+			lates = append(lates, float64(sent)/1e6)
+			offered[class.Name]++
+			if status == 200 {
+				took.RecordValue(max(1, t.Microseconds()))
+				if t <= class.Aim+time.Duration(class.Stretch*a.Work*float64(time.Second)) {
+					inTime[class.Name]++
+				}
+			}
+		})
+	}
+	jobs.Wait()
+	span := max(time.Since(start), w.Arrivals[len(w.Arrivals)-1].At)
+	f.InTime = map[string]float64{}
+	for name, n := range offered {
+		f.InTime[name] = float64(inTime[name]) / float64(n)
+	}
+	f.P50, f.P99 = float64(took.ValueAtPercentile(50))/1000, float64(took.ValueAtPercentile(99))/1000
+	busy, cores := 0.0, 0
+	for i, h := range world.Hosts {
+		busy += h.Busy().Seconds()
+		cores += w.Kinds[w.Boxes[i].Kind].Cores
+	}
+	f.Utilisation = busy / float64(cores) / span.Seconds()
+	slices.Sort(lates)
+	return f, stat.Quantile(0.99, stat.Empirical, lates, nil), nil
+}
+
+// postHinted hands in a job of a forecast: its data say how much work it is, and its hint what is thought of that.
+func postHinted(client *http.Client, address, class, id string, a sim.Arrival) int {
+	body := id + " " + strconv.FormatFloat(a.Work*1e6, 'f', 0, 64)
+	r, err := http.NewRequest("POST", "http://"+address+"/"+class, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	r.Header.Set("Req-Id", id)
+	r.Header.Set("Req-Kind", class)
+	r.Header.Set("Req-Deadline-Ms", strconv.Itoa(int(a.Left/time.Millisecond)))
+	if class == classNames[0] {
+		r.Header.Set("Idempotency-Key", id+id)
+	}
+	if a.Hint > 0 {
+		r.Header.Set("Req-Cost", strconv.FormatInt(max(a.Hint.Microseconds(), 1), 10))
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return 0
+	}
+	return answer.StatusCode
+}
--- a/lab/world.go
+++ b/lab/world.go
@@ -16,7 +16,9 @@
 	Queue  int
 	Job    time.Duration
 	Result func([]byte) []byte
-	ID     func([]byte) string // finds the ledger's name of a job in its data; nil for its id
+	// Each changes what a host is like, by its number; may be nil.
+	Each func(i int, h *standin.HostConfig)
+	ID   func([]byte) string // finds the ledger's name of a job in its data; nil for its id
 }
 
 // World is a fleet of stand-in hosts with discovery, for one dispatcher.
@@ -49,8 +51,12 @@
 
 // Add starts one more host and lists it.
 func (w *World) Add(c WorldConfig, name string, i int) (*standin.Host, error) {
-	h, err := standin.StartHost(standin.HostConfig{Name: name, Zone: Zones[0], Kind: Kinds[0], Cell: i / 4, Slots: c.Slots, Queue: c.Queue,
-		Job: c.Job, Result: c.Result, Starts: true, Ledger: &w.Ledger, ID: c.ID, Dispatcher: w.Listen, Callbacks: &http.Client{Transport: w.callbacks}})
+	like := standin.HostConfig{Name: name, Zone: Zones[0], Kind: Kinds[0], Cell: i / 4, Slots: c.Slots, Queue: c.Queue,
+		Job: c.Job, Result: c.Result, Starts: true, Ledger: &w.Ledger, ID: c.ID, Dispatcher: w.Listen, Callbacks: &http.Client{Transport: w.callbacks}}
+	if c.Each != nil {
+		c.Each(i, &like)
+	}
+	h, err := standin.StartHost(like)
 	if err != nil {
 		return nil, err
 	}
--- a/plan/captured.go
+++ b/plan/captured.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,10 +23,89 @@
 	Skipped int      `json:"skipped"` // of classes or kinds that the fleet lacks
 }
 
+// Speed is what was learnt of a kind of boxes.
+type Speed struct {
+	Kind  string   `json:"kind"`
+	Runs  int      `json:"runs"`  // on boxes that were warm
+	Speed Estimate `json:"speed"` // work done in a second by a core, against the kind whose speed is known
+	Fresh int      `json:"fresh"` // runs on boxes in the first eighth of their warming up
+	Cold  Estimate `json:"cold"`  // the part of their speed that these have
+}
+
+func (s Speed) String() string {
+	text := fmt.Sprintf("speed %.3f ± %.3f", s.Speed.Mean, s.Speed.Half)
+	if s.Fresh > 1 {
+		text += fmt.Sprintf("; %.2f ± %.2f of it just after a start, from %d runs", s.Cold.Mean, s.Cold.Half, s.Fresh)
+	}
+	return text
+}
+
+// ratio is how many times as long one sort of runs takes as another, by the means of their logarithms.
+func ratio(long, short []float64) Estimate {
+	if len(long) < 2 || len(short) < 2 {
+		return Estimate{Mean: 1}
+	}
+	ml, sl := stat.MeanStdDev(long, nil)
+	ms, ss := stat.MeanStdDev(short, nil)
+	half := 1.96 * math.Sqrt(sl*sl/float64(len(long))+ss*ss/float64(len(short)))
+	mean := math.Exp(ml - ms)
+	return Estimate{mean, mean * half}
+}
+
+// speeds fits speeds by kind and what boxes do just after a start. It takes jobs to be alike on all kinds. Kinds without a
+// speed get the one that is fitted, against the first kind by name that has one, or against the fastest.
+func (f *Fleet) speeds(h capture.Header, records []capture.Record) []Speed {
+	warm, fresh := map[string][]float64{}, map[string][]float64{}
+	for _, r := range records {
+		for _, a := range r.Attempts {
+			if a.Status != uint8(balance.OK) || a.Began < 0 || a.Ended <= a.Began || a.Kind < 0 || a.Kind >= len(h.Kinds) {
+				continue
+			}
+			kind, x := h.Kinds[a.Kind], math.Log(float64(a.Ended-a.Began))
+			switch warming := time.Duration(f.Rules.WarmWithin); {
+			case a.Age < 0 || time.Duration(a.Age) >= warming:
+				warm[kind] = append(warm[kind], x)
+			case time.Duration(a.Age) < warming/8:
+				fresh[kind] = append(fresh[kind], x)
+			}
+		}
+	}
+	_, kinds, _ := f.Names()
+	reference, known := "", 1.0
+	for _, k := range kinds {
+		switch {
+		case len(warm[k]) < 2:
+		case f.Kinds[k].Speed > 0 && (reference == "" || f.Kinds[reference].Speed == 0):
+			reference, known = k, f.Kinds[k].Speed
+		case reference == "" || f.Kinds[reference].Speed == 0 && stat.Mean(warm[k], nil) < stat.Mean(warm[reference], nil):
+			reference = k
+		}
+	}
+	var all []Speed
+	for _, k := range kinds {
+		if len(warm[k]) < 2 {
+			continue
+		}
+		s := Speed{Kind: k, Runs: len(warm[k]), Speed: Estimate{Mean: known}, Fresh: len(fresh[k]), Cold: ratio(warm[k], fresh[k])}
+		if k != reference {
+			s.Speed = ratio(warm[reference], warm[k])
+			s.Speed.Mean, s.Speed.Half = s.Speed.Mean*known, s.Speed.Half*known
+		}
+		all = append(all, s)
+	}
+	for _, s := range all {
+		if kind := f.Kinds[s.Kind]; kind.Speed == 0 {
+			kind.Speed = s.Speed.Mean
+			f.Kinds[s.Kind] = kind
+		}
+	}
+	return all
+}
+
 // UseCaptured takes captured records in place of the fleet file's load. A job's work is its running time where it was served,
 // times the speed of the kind that ran it, else its hint, else the mean of its class. Clients are taken to be at the station of
 // the dispatcher that they came to. Clients' retries are left out: the emulator's clients make their own.
-func (f *Fleet) UseCaptured(h capture.Header, records []capture.Record) ([]Fitted, error) {
+func (f *Fleet) UseCaptured(h capture.Header, records []capture.Record) ([]Fitted, []Speed, error) {
 	stations, _, classes := f.Names()
 	records = slices.Clone(records)
 	slices.SortStableFunc(records, func(a, b capture.Record) int { return int(min(max(a.Arrived-b.Arrived, -1), 1)) })
@@ -34,6 +115,12 @@
 		}
 		return ""
 	}
+	speeds := f.speeds(h, records)
+	for _, k := range slices.Sorted(maps.Keys(f.Kinds)) {
+		if f.Kinds[k].Speed == 0 {
+			return nil, nil, fmt.Errorf("kinds.%s.speed: not given, and no runs on that kind were captured to fit it from", k)
+		}
+	}
 	works := map[string][]float64{}
 	fits := map[string]*Fitted{}
 	work := func(r capture.Record) float64 {
@@ -79,7 +166,7 @@
 			Hint: time.Duration(r.Hint), Left: time.Duration(r.Patience)})
 	}
 	if len(all) == 0 {
-		return nil, fmt.Errorf("none of the %d records is of a class that the fleet has", len(records))
+		return nil, nil, fmt.Errorf("none of the %d records is of a class that the fleet has", len(records))
 	}
 	f.captured = all
 	span := max(all[len(all)-1].At, time.Second)
@@ -99,5 +186,5 @@
 		}
 		fitted = append(fitted, *fit)
 	}
-	return fitted, nil
+	return fitted, speeds, nil
 }
--- a/plan/fleet.cue
+++ b/plan/fleet.cue
@@ -20,7 +20,7 @@
 		cores:    int & >=1
 		slots:    int & >=1 | *cores // jobs that run side by side
 		queue:    int & >=0 | *4
-		speed:    number & >0        // work done in a second by a core
+		speed?:   number & >0        // work done in a second by a core; without it, fitted from captured load
 		spread:   number & >=0 & <1 | *0
 		crowding: number & >=0 | *0  // what twice as many jobs as cores cost, as a share of the speed
 	}
@@ -50,7 +50,9 @@
 		restartAfter:   #Duration | *"5s"
 		attempts:       int & >=1 | *4
 	}
-	retry: {most: int & >=0 | *2, pause: #Duration | *"100ms", advice: bool | *true}
+	// Clients' further tries: how many, after what pause, whether they stay away as long as they are told, and how long they
+	// wait for one try, if not as long as for all.
+	retry: {most: int & >=0 | *2, pause: #Duration | *"100ms", advice: bool | *true, each?: #Duration}
 	discovery: {lag: #Duration | *"1s", call: #Duration | *"20ms"}
 	dispatcher: {
 		cpuPerJob: #Duration | *"100us" // measured by liftlab overhead
--- a/plan/fleet.go
+++ b/plan/fleet.go
@@ -45,6 +45,7 @@
 	Goals      Goals              `json:"goals"`
 
 	captured []sim.Arrival // in place of Load, where there are any
+	fits     bool          // captured load is to come
 }
 
 // The parts of a Fleet.
@@ -110,6 +111,7 @@
 		Most   int      `json:"most"`
 		Pause  Duration `json:"pause"`
 		Advice bool     `json:"advice"`
+		Each   Duration `json:"each"`
 	}
 	Discovery struct {
 		Lag  Duration `json:"lag"`
@@ -127,22 +129,23 @@
 	}
 )
 
-// Load reads a fleet file. A cuefile.Error tells of mistakes, a line each.
-func LoadFleet(path string) (*Fleet, error) {
+// LoadFleet reads a fleet file. A cuefile.Error tells of mistakes, a line each. Fits says that UseCaptured is to follow: then
+// speeds may be missing.
+func LoadFleet(path string, fits bool) (*Fleet, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	return Parse(path, text)
+	return Parse(path, text, fits)
 }
 
 // Parse reads a fleet; name stands for its file in errors.
-func Parse(name string, text []byte) (*Fleet, error) {
+func Parse(name string, text []byte, fits bool) (*Fleet, error) {
 	out, err := cuefile.CompileBy(schema, "#Fleet", name, text)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{}
+	f := &Fleet{fits: fits}
 	if err := json.Unmarshal(out, f); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
@@ -177,6 +180,13 @@
 	if dispatchers == 0 && len(f.Stations) > 0 {
 		add("stations", "want at least one dispatcher")
 	}
+	if f.captured == nil && !f.fits {
+		for _, k := range slices.Sorted(maps.Keys(f.Kinds)) {
+			if f.Kinds[k].Speed == 0 {
+				add("kinds."+k+".speed", "want a number, as no captured load is there to fit it from")
+			}
+		}
+	}
 	for i, w := range f.Network.Ways {
 		for _, s := range []string{w.From, w.To} {
 			if _, ok := f.Stations[s]; !ok {
@@ -302,8 +312,9 @@
 		Lag: time.Duration(f.Discovery.Lag), ListTime: time.Duration(f.Discovery.Call),
 		Rules: sim.Rules{DrainGrace: time.Duration(f.Rules.DrainGrace), StartCapacity: f.Rules.StartCapacity, WarmWithin: time.Duration(f.Rules.WarmWithin),
 			OverloadFactor: f.Rules.OverloadFactor, FallTime: time.Duration(f.Rules.FallTime), RestartAfter: time.Duration(f.Rules.RestartAfter)},
-		Retry:    sim.Retry{Most: f.Retry.Most, Pause: time.Duration(f.Retry.Pause), Advice: f.Retry.Advice},
-		Settings: balance.Settings{CrossZoneFee: 0.019, Tick: 2 * time.Millisecond, SecondCopies: true, MaxRetryAfter: time.Second}}
+		Retry: sim.Retry{Most: f.Retry.Most, Pause: time.Duration(f.Retry.Pause), Advice: f.Retry.Advice, Each: time.Duration(f.Retry.Each)},
+		Settings: balance.Settings{CrossZoneFee: 0.019, WasteFee: 0.08, ProbeFee: 0.0059, LateFee: 0.026, WorthByWork: true, Tick: 2 * time.Millisecond,
+			SecondCopies: true, MaxRetryAfter: time.Second}}
 	for i, from := range stations {
 		w.OneWay = append(w.OneWay, make([]time.Duration, len(stations)))
 		for j, to := range stations {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -37,9 +37,13 @@
 	work := f.Load.Rate * f.work()
 	add("boxes' cores", "all", work/max(f.capacity(""), 1e-12), true)
 	stations, _, _ := f.Names()
-	dispatchers := 0
+	dispatchers, homeless := 0, 0.0
 	for _, s := range stations {
-		dispatchers += f.Stations[s].Dispatchers
+		if n := f.Stations[s].Dispatchers; n > 0 {
+			dispatchers += n
+		} else {
+			homeless += f.loadOf(s) // of clients that go to others' dispatchers, to all alike
+		}
 	}
 	speed := f.capacity("") / max(f.cores(), 1)
 	for _, s := range stations {
@@ -49,10 +53,10 @@
 		}
 		d := f.Stations[s].Dispatchers
 		rate := f.Load.Rate * share
-		if d == 0 { // its clients go to others'
+		if d == 0 {
 			continue
 		}
-		rate /= float64(d)
+		rate = rate/float64(d) + f.Load.Rate*homeless/float64(dispatchers)
 		add("a dispatcher's CPU", s, rate*time.Duration(f.Dispatcher.CPUPerJob).Seconds()/f.Dispatcher.Cores, true)
 		// A client holds its connection while its job is open; a quarter of the descriptors are for hosts.
 		open := rate * (f.work()/max(speed, 1e-12) + 2*time.Duration(f.Network.Crossing).Seconds())
@@ -365,7 +369,8 @@
 	low := int(float64(a.Boxes) * a.Bounds[slices.IndexFunc(a.Bounds, func(l Limit) bool { return l.Resource == "boxes' cores" })].Use)
 	low = max(low, 1) - 1
 	high, last := 0, Outcome{}
-	for n := max(a.Boxes, low+1); n <= 8*max(a.Boxes, low+1); n += max(n/2, 1) {
+	most := 8 * max(a.Boxes, low+1)
+	for n := max(a.Boxes, low+1); n <= most; n += max(n/2, 1) {
 		o, err := p.Judge(ctx, fmt.Sprint(n, " boxes"), p.Fleet.Scaled(n), 1, nil)
 		if err != nil {
 			return err
--- a/plan/report.go
+++ b/plan/report.go
@@ -66,7 +66,7 @@
 
 var (
 	blue = color.RGBA{31, 119, 180, 255}
-	band = color.RGBA{31, 119, 180, 60}
+	band = color.NRGBA{31, 119, 180, 60}
 	red  = color.RGBA{214, 39, 40, 255}
 )
 
@@ -140,7 +140,7 @@
 
 // timelinePlot is service over the day on which a station's boxes go dark.
 func (a *Answer) timelinePlot(dark, back float64) (*plot.Plot, error) {
-	p := axes("The boxes of "+a.Lost+" go dark", "seconds", "service of what was sent then")
+	p := axes("The boxes of "+a.Lost+" go dark", "seconds", "service")
 	var line plotter.XYs
 	for _, w := range a.Timeline {
 		if w.Asked > 0 {
@@ -181,7 +181,7 @@
 <title>Capacity plan</title><style>
 body{font:15px/1.45 system-ui,sans-serif;max-width:60em;margin:2em auto;padding:0 1em;color:#222}
 h1{font-size:1.5em}h2{font-size:1.15em;margin-top:1.8em}
-table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}th,td{text-align:left;padding:.25em .6em;border-bottom:1px solid #ddd}
+table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}td:first-child{white-space:nowrap}th,td{text-align:left;padding:.25em .6em;border-bottom:1px solid #ddd}
 td.n,th.n{text-align:right}.kept{color:#176d2c}.missed{color:#a11}.cant{color:#8a6d00}
 .plot svg{width:100%;height:auto}.wide{overflow-x:auto}.key{font-size:1.1em}
 @media print{body{margin:0;max-width:none}h2{break-after:avoid}table,.plot{break-inside:avoid}}
@@ -192,11 +192,11 @@
 {{if .A.Next}}The goals are kept up to load &times; {{factor .A.Tip}} and no more from &times; {{factor .A.Next}} on.{{else if .A.Tip}}The goals are kept up to load &times; {{factor .A.Tip}}, the most that was tried.{{end}}
 {{if .A.Fleet}}{{.A.Fleet}}.{{end}}</p>
 {{if .A.First}}<h2>First to give way</h2><ol>{{range .A.First}}<li>{{.Resource}}, {{.Where}}: {{percent .Use}} used there</li>{{end}}</ol>{{end}}
-{{if .Curve}}<h2>Load</h2><div class="plot">{{.Curve}}</div><p>The band is the 95% interval of the mean day, the dashed line the goal, the red line where it is missed first.</p>{{end}}
-{{if .Timeline}}<h2>A station goes dark</h2><div class="plot">{{.Timeline}}</div>{{end}}
+{{if .Curve}}<h2>Load</h2><div class="plot">{{.Curve}}</div><p>The band is the 95% interval of the mean day, the dashed line the goal, the red line where it is missed first.</p>
+{{template "rows" .A.Curve}}{{end}}
+{{if .Timeline}}<h2>A station goes dark</h2><div class="plot">{{.Timeline}}</div><p>Service of what was sent in each 2 s; between the dashed lines the boxes are gone.</p>{{end}}
 {{define "rows"}}<div class="wide"><table><tr><th>day</th><th class="n">service</th><th class="n">&plusmn;</th><th class="n">worst 10 s</th><th class="n">tries a job</th><th class="n">days</th><th>goals</th><th></th></tr>
 {{range .}}<tr><td>{{.Name}}</td><td class="n">{{three .Service.Mean}}</td><td class="n">{{three .Service.Half}}</td><td class="n">{{three .Worst10s.Mean}}</td><td class="n">{{printf "%.2f" .Tries}}</td><td class="n">{{.Days}}</td><td class="{{if eq .Verdict "kept"}}kept{{else if eq .Verdict "missed"}}missed{{else}}cant{{end}}">{{.Verdict}}</td><td>{{.Why}}</td></tr>{{end}}</table></div>{{end}}
-{{if .A.Curve}}{{template "rows" .A.Curve}}{{end}}
 {{if .A.WhatIf}}<h2>What if</h2>{{template "rows" .A.WhatIf}}{{end}}
 <h2>By hand</h2><div class="wide"><table><tr><th>resource</th><th>where</th><th class="n">used at load 1</th><th class="n">full at load &times;</th><th></th></tr>
 {{range .A.Bounds}}<tr><td>{{.Resource}}</td><td>{{.Where}}</td><td class="n">{{percent .Use}}</td><td class="n">{{factor .At}}</td><td>{{if not .Hard}}others take over{{end}}</td></tr>{{end}}</table></div>
--- a/sim/result.go
+++ b/sim/result.go
@@ -106,7 +106,16 @@
 	w.Asked += worth
 	w.ByStation[a.Station].Asked += worth
 	r.open++
-	r.send(&job{arrival: n, class: a.Class, work: a.Work, end: r.now + a.Left})
+	r.send(&job{arrival: n, class: a.Class, work: a.Work, end: r.patience(a)})
+}
+
+// patience is until when a client waits for a try that it sends now.
+func (r *run) patience(a *Arrival) time.Duration {
+	end := a.At + a.Left
+	if r.Retry.Each > 0 {
+		end = min(end, r.now+r.Retry.Each)
+	}
+	return end
 }
 
 func (r *run) windowOf(at time.Duration) *Window {
@@ -159,9 +168,12 @@
 		if r.Retry.Advice && end == Refused {
 			pause = max(pause, wait)
 		}
-		if r.now+pause < j.end {
-			next := &job{arrival: j.arrival, class: j.class, work: j.work, end: j.end, tries: j.tries + 1}
-			r.after(pause, func() { r.send(next) })
+		if r.now+pause < a.At+a.Left {
+			next := &job{arrival: j.arrival, class: j.class, work: j.work, tries: j.tries + 1}
+			r.after(pause, func() {
+				next.end = r.patience(a)
+				r.send(next)
+			})
 			return
 		}
 	}
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -92,6 +92,7 @@
 type Retry struct {
 	Most  int           // tries beyond the first
 	Pause time.Duration // before the first of them, twice as long before each further one
+	Each  time.Duration // how long a client waits for one try; 0: as long as for all
 	// Advice says that clients stay away as long as they are told to.
 	Advice bool
 }
