Plan by station, class, connections and memory; compare the load at which it gives way

The plan named cores, CPU and descriptors only, and its page had no boxes against the goal. An open tandem joins the tests against theory.

--- a/cmd/liftlab/plan.go
+++ b/cmd/liftlab/plan.go
@@ -119,6 +119,9 @@
 				fmt.Fprintf(out, "%4d %5d %8.1f %6.2f %8.3f %8.3f %8.3f %8.3f %9.1f %9.1f %9.1f %9.1f %7.3f %7.3f %6.1f%%  %s\n", x.Number, x.Boxes, x.Rate, x.Load,
 					f.InTime["gauge-reading"], s.InTime["gauge-reading"], f.InTime["send-warning"], s.InTime["send-warning"], f.P50, s.P50, f.P99, s.P99,
 					f.Utilisation, s.Utilisation, 100*x.Error, x.Of)
+				if c.Ramp {
+					fmt.Fprintf(out, "%4s gives way at %.2f of its cores, seen at %.2f\n", "", x.Tip, x.TipSeen)
+				}
 			})
 			if err != nil {
 				return err
@@ -133,6 +136,7 @@
 	fl.IntVar(&c.Cases, "cases", 20, "fleets and loads to draw")
 	fl.IntVar(&c.Beside, "beside", 4, "cases to play at a time")
 	fl.DurationVar(&c.Length, "length", 20*time.Second, "of each case's load")
+	fl.BoolVar(&c.Ramp, "ramp", false, "raise the load of each case until it gives way, too")
 	fl.IntVar(&c.Days, "days", 5, "emulated runs of each forecast")
 	return cmd
 }
@@ -167,6 +171,7 @@
 func useCaptured(cmd *cobra.Command, f *plan.Fleet, files []string) error {
 	var all []capture.Record
 	var head capture.Header
+	dropped := int64(0)
 	for i, path := range files {
 		r, err := readCapture(path, func(_ *capture.Reader, rec capture.Record) error {
 			all = append(all, rec)
@@ -179,11 +184,12 @@
 			return fmt.Errorf("%s: its classes, stations or kinds are not those of %s", path, files[0])
 		}
 		head = r.Header
+		dropped += r.Dropped
 		if text := faults(path, r); text != "" {
 			fmt.Fprintln(cmd.OutOrStdout(), text)
 		}
 	}
-	fitted, speeds, err := f.UseCaptured(head, all)
+	fitted, speeds, err := f.UseCaptured(head, all, dropped)
 	if err != nil {
 		return err
 	}
--- a/lab/verify.go
+++ b/lab/verify.go
@@ -30,6 +30,7 @@
 	Beside int // cases that are played at a time
 	Length time.Duration
 	Days   int // of each forecast
+	Ramp   bool
 	Stderr io.Writer
 }
 
@@ -54,6 +55,8 @@
 	Of       string  `json:"largest_of"`   // and of what
 	P99Error float64 `json:"p99_error"`    // by itself: a few jobs decide it
 	Late     float64 `json:"sent_late_ms"` // the load's own lateness, at its 99th percentile
+	// With Ramp: the part of the boxes' cores that is asked for when jobs in time fall under nine tenths.
+	Tip, TipSeen float64 `json:",omitempty"`
 }
 
 // VerifyReport is the last line of liftlab verify.
@@ -148,10 +151,48 @@
 	}
 	worse("p50", one.Forecast.P50, one.Seen.P50, 1)
 	worse("utilisation", one.Forecast.Utilisation, one.Seen.Utilisation, 0.1)
+	if c.Ramp {
+		if one.Tip, one.TipSeen, err = c.ramp(ctx, f, i, load); err != nil {
+			return one, err
+		}
+		worse("the load at which it gives way", one.Tip, one.TipSeen, 0.1)
+	}
 	one.P99Error = math.Abs(one.Forecast.P99-one.Seen.P99) / max(one.Seen.P99, 1)
 	return one, nil
 }
 
+// ramp finds at which load jobs in time fall under nine tenths, forecast and seen, between steps of a tenth.
+func (c VerifyConfig) ramp(ctx context.Context, f *plan.Fleet, i int, load float64) (forecast, seen float64, err error) {
+	share := func(x Figures) float64 { return (x.InTime[classNames[0]] + x.InTime[classNames[1]]) / 2 }
+	type step struct{ load, forecast, seen float64 }
+	var steps []step
+	for x := 0.6; x <= 1.41; x += 0.1 {
+		w := f.World(c.Seed<<8+uint64(i), x/load)
+		s, _, err := c.loopback(ctx, w)
+		if err != nil {
+			return 0, 0, err
+		}
+		steps = append(steps, step{x, share(c.forecast(w)), share(s)})
+		if last := steps[len(steps)-1]; last.forecast < 0.85 && last.seen < 0.85 {
+			break
+		}
+	}
+	at := func(of func(step) float64) float64 {
+		for k, s := range steps {
+			if of(s) >= 0.9 {
+				continue
+			}
+			if k == 0 {
+				return s.load
+			}
+			before := steps[k-1]
+			return before.load + (s.load-before.load)*(of(before)-0.9)/(of(before)-of(s))
+		}
+		return steps[len(steps)-1].load
+	}
+	return at(func(s step) float64 { return s.forecast }), at(func(s step) float64 { return s.seen }), nil
+}
+
 // forecast plays the very jobs in the emulator, several times, as the dispatchers' own chance differs.
 func (c VerifyConfig) forecast(w *sim.World) Figures {
 	f := Figures{InTime: map[string]float64{}}
--- a/plan/captured.go
+++ b/plan/captured.go
@@ -104,8 +104,9 @@
 
 // UseCaptured takes captured records in place of the fleet file's load. A job's work is its running time where it was served,
 // times the speed of the kind that ran it, else its hint, else the mean of its class. Clients are taken to be at the station of
-// the dispatcher that they came to. Clients' retries are left out: the emulator's clients make their own.
-func (f *Fleet) UseCaptured(h capture.Header, records []capture.Record) ([]Fitted, []Speed, error) {
+// the dispatcher that they came to. Where records were dropped when they were written, those that are left are pressed together
+// by as much. Clients' retries are left out: the emulator's clients make their own.
+func (f *Fleet) UseCaptured(h capture.Header, records []capture.Record, dropped int64) ([]Fitted, []Speed, error) {
 	stations, _, classes := f.Names()
 	records = slices.Clone(records)
 	slices.SortStableFunc(records, func(a, b capture.Record) int { return int(min(max(a.Arrived-b.Arrived, -1), 1)) })
@@ -168,6 +169,10 @@
 	if len(all) == 0 {
 		return nil, nil, fmt.Errorf("none of the %d records is of a class that the fleet has", len(records))
 	}
+	press := float64(len(records)) / float64(int64(len(records))+dropped)
+	for i := range all {
+		all[i].At = time.Duration(float64(all[i].At) * press)
+	}
 	f.captured = all
 	span := max(all[len(all)-1].At, time.Second)
 	f.Load.Rate, f.Load.Length, f.Load.Bursts = float64(len(all))/span.Seconds(), Duration(span), nil
--- a/plan/fleet.cue
+++ b/plan/fleet.cue
@@ -22,6 +22,7 @@
 		queue:    int & >=0 | *4
 		speed?:   number & >0        // work done in a second by a core; without it, fitted from captured load
 		spread:   number & >=0 & <1 | *0
+		connections: int & >=0 | *0  // that a box takes; 0: any number
 		crowding: number & >=0 | *0  // what twice as many jobs as cores cost, as a share of the speed
 	}
 	classes: [string]: {
@@ -58,6 +59,8 @@
 		cpuPerJob: #Duration | *"100us" // measured by liftlab overhead
 		cores:     number & >0 | *1
 		sockets:   int & >=32 | *1024
+		memoryMB:  int & >=16 | *192
+		body:      int & >=0 | *1024 // bytes of a job and its result
 	}
 	goals: {
 		service:  #Share | *0.95 // worth answered in time over worth asked for
--- a/plan/fleet.go
+++ b/plan/fleet.go
@@ -72,6 +72,8 @@
 		Speed    float64 `json:"speed"`
 		Spread   float64 `json:"spread"`
 		Crowding float64 `json:"crowding"`
+
+		Connections int `json:"connections"`
 	}
 	Class struct {
 		Aim       Duration `json:"aim"`
@@ -121,6 +123,8 @@
 		CPUPerJob Duration `json:"cpuPerJob"`
 		Cores     float64  `json:"cores"`
 		Sockets   int      `json:"sockets"`
+		MemoryMB  int      `json:"memoryMB"`
+		Body      int      `json:"body"`
 	}
 	Goals struct {
 		Service  float64            `json:"service"`
@@ -331,7 +335,8 @@
 	}
 	for _, name := range kinds {
 		k := f.Kinds[name]
-		w.Kinds = append(w.Kinds, sim.Kind{Name: name, Cores: k.Cores, Slots: k.Slots, Queue: k.Queue, Speed: k.Speed, Spread: k.Spread, Crowding: k.Crowding})
+		w.Kinds = append(w.Kinds, sim.Kind{Name: name, Cores: k.Cores, Slots: k.Slots, Queue: k.Queue, Speed: k.Speed, Spread: k.Spread, Crowding: k.Crowding,
+			Connections: k.Connections})
 	}
 	for s, name := range stations {
 		st := f.Stations[name]
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"runtime"
 	"slices"
@@ -12,6 +13,7 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"liftgauge/internal/budget"
 	"liftgauge/sim"
 )
 
@@ -36,7 +38,15 @@
 	}
 	work := f.Load.Rate * f.work()
 	add("boxes' cores", "all", work/max(f.capacity(""), 1e-12), true)
-	stations, _, _ := f.Names()
+	stations, _, classes := f.Names()
+	mix := 0.0
+	for _, c := range f.Classes {
+		mix += c.Mix
+	}
+	for _, name := range classes {
+		c := f.Classes[name]
+		add("boxes' cores", name+" alone", f.Load.Rate*c.Mix/max(mix, 1e-12)*time.Duration(c.Work.Mean).Seconds()/max(f.capacity(""), 1e-12), false)
+	}
 	dispatchers, homeless := 0, 0.0
 	for _, s := range stations {
 		if n := f.Stations[s].Dispatchers; n > 0 {
@@ -60,8 +70,16 @@
 		add("a dispatcher's CPU", s, rate*time.Duration(f.Dispatcher.CPUPerJob).Seconds()/f.Dispatcher.Cores, true)
 		// A client holds its connection while its job is open; a quarter of the descriptors are for hosts.
 		open := rate * (f.work()/max(speed, 1e-12) + 2*time.Duration(f.Network.Crossing).Seconds())
+		memory := budget.Share(int64(f.Dispatcher.MemoryMB) << 20).Messages
+		add("a dispatcher's memory", s, open*float64(budget.Message+f.Dispatcher.Body)/float64(memory), true)
 		add("a dispatcher's descriptors", s, open/(float64(f.Dispatcher.Sockets-32)*3/4), true)
 	}
+	// Each dispatcher keeps a connection to a box for each of its own jobs there, and one at least.
+	for _, name := range slices.Sorted(maps.Keys(f.Kinds)) {
+		if k := f.Kinds[name]; k.Connections > 0 {
+			add("a box's connections", name, float64(max(dispatchers, k.Slots))/float64(k.Connections), true)
+		}
+	}
 	// All dispatchers ask at once after discovery was away: that it takes longer than a watch is waited for counts as full.
 	add("discovery's calls", "all", float64(dispatchers)*time.Duration(f.Discovery.Call).Seconds()/2.5, true)
 	slices.SortStableFunc(all, func(a, b Limit) int { return cmpFloat(b.Use, a.Use) })
@@ -134,6 +152,8 @@
 	InTime   map[string]Estimate `json:"in_time"`
 	P99      map[string]float64  `json:"p99_ms"`
 	Use      map[string]float64  `json:"utilisation"` // by station and kind
+	Stations map[string]float64  `json:"by_station"`  // service of what each station's clients sent
+	Boxes    int                 `json:"boxes"`
 	Lost     int64               `json:"lost"`
 	Broken   int64               `json:"rules_broken"` // boxes pushed over, and runs of what must not run twice
 	Tries    float64             `json:"tries"`        // of clients, for each job
@@ -157,7 +177,7 @@
 // Judge plays days of a fleet at a load factor until each goal is decided, or Most is reached. The days are those of the same
 // seeds for every fleet, so that two fleets differ by what they are alone.
 func (p *Planner) Judge(ctx context.Context, name string, f *Fleet, factor float64, with change) (Outcome, error) {
-	o := Outcome{Name: name, Factor: factor}
+	o := Outcome{Name: name, Factor: factor, Boxes: f.Boxes()}
 	var days []*sim.Result
 	for n := max(p.Least, 2); ; n = min(2*n, p.Most) {
 		more := make([]*sim.Result, n-len(days))
@@ -196,7 +216,8 @@
 	stations, kinds, classes := f.Names()
 	var service, worst []float64
 	inTime := make([][]float64, len(classes))
-	o.InTime, o.P99, o.Use = map[string]Estimate{}, map[string]float64{}, map[string]float64{}
+	o.InTime, o.P99, o.Use, o.Stations = map[string]Estimate{}, map[string]float64{}, map[string]float64{}, map[string]float64{}
+	asked, earned := make([]float64, len(stations)), make([]float64, len(stations))
 	o.Days, o.Lost, o.Broken, o.Tries = len(days), 0, 0, 0
 	type sum struct{ use, n float64 }
 	use := map[string]sum{}
@@ -216,6 +237,12 @@
 			offered += x.Offered
 			o.P99[classes[c]] += float64(x.Latency.ValueAtPercentile(99)) / 1000 / float64(len(days))
 		}
+		for _, w := range d.Windows {
+			for s, x := range w.ByStation {
+				asked[s] += x.Asked
+				earned[s] += x.Earned
+			}
+		}
 		for _, b := range d.Boxes {
 			key := stations[b.Station] + "/" + kinds[b.Kind]
 			s := use[key]
@@ -223,6 +250,11 @@
 		}
 	}
 	o.Tries /= float64(max(offered, 1))
+	for s, name := range stations {
+		if asked[s] > 0 {
+			o.Stations[name] = earned[s] / asked[s]
+		}
+	}
 	for key, s := range use {
 		o.Use[key] = s.use / s.n
 	}
@@ -260,6 +292,7 @@
 	First    []Limit   `json:"first_to_give_way"` // at the tip, the fullest first
 	Fewest   int       `json:"fewest_boxes"`      // that keep the goals at load factor 1; 0: not known
 	Fleet    string    `json:"fewest_why"`
+	Fleets   []Outcome `json:"fleets"` // numbers of boxes that were tried
 	Curve    []Outcome `json:"curve"`
 	WhatIf   []Outcome `json:"what_if"`
 	Partial  bool      `json:"partial"`
@@ -366,7 +399,7 @@
 		return nil
 	}
 	// Below this many no policy can do the work.
-	low := int(float64(a.Boxes) * a.Bounds[slices.IndexFunc(a.Bounds, func(l Limit) bool { return l.Resource == "boxes' cores" })].Use)
+	low := int(float64(a.Boxes) * a.Bounds[slices.IndexFunc(a.Bounds, func(l Limit) bool { return l.Resource == "boxes' cores" && l.Hard })].Use)
 	low = max(low, 1) - 1
 	high, last := 0, Outcome{}
 	most := 8 * max(a.Boxes, low+1)
@@ -375,6 +408,7 @@
 		if err != nil {
 			return err
 		}
+		a.Fleets = append(a.Fleets, o)
 		if last = o; o.Verdict == Kept {
 			high = n
 			break
@@ -392,12 +426,14 @@
 		if err != nil {
 			return err
 		}
+		a.Fleets = append(a.Fleets, o)
 		if o.Verdict == Kept {
 			high = mid
 		} else {
 			low, unknown = mid, o.Verdict == CantTell
 		}
 	}
+	slices.SortFunc(a.Fleets, func(x, y Outcome) int { return x.Boxes - y.Boxes })
 	a.Fewest, a.Fleet = high, fmt.Sprint(high, " boxes keep the goals with 95% confidence")
 	if unknown {
 		a.Fleet += fmt.Sprint("; whether ", low, " do can't be told from ", p.Most, " days")
--- a/plan/report.go
+++ b/plan/report.go
@@ -10,6 +10,7 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
@@ -49,7 +50,7 @@
 			fmt.Fprintf(w, "\nThe goals are kept up to load x %.2f, the most that was tried. Fullest there:\n", a.Tip)
 		}
 		for i, l := range a.First {
-			fmt.Fprintf(w, "  %d. %s, %s: %.0f%% used\n", i+1, l.Resource, l.Where, 100*l.Use)
+			fmt.Fprintf(w, "  %d. %s, %s: %.0f%% used, full at load x %.2f\n", i+1, l.Resource, l.Where, 100*l.Use, l.At)
 		}
 	}
 	if a.Fleet != "" {
@@ -138,6 +139,57 @@
 	return p, nil
 }
 
+// stationsPlot is load factor against the service of each station's clients.
+func (a *Answer) stationsPlot(stations []string) (*plot.Plot, error) {
+	p := axes("Service by the clients' station", "load factor", "service")
+	p.Legend.Left = true
+	for i, s := range stations {
+		var line plotter.XYs
+		for _, o := range a.Curve {
+			if x, ok := o.Stations[s]; ok {
+				line = append(line, plotter.XY{X: o.Factor, Y: x})
+			}
+		}
+		if len(line) == 0 {
+			continue
+		}
+		l, err := plotter.NewLine(line)
+		if err != nil {
+			return nil, err
+		}
+		l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(l)
+		p.Legend.Add(s, l)
+	}
+	return p, nil
+}
+
+// boxesPlot is the number of boxes against service, with its interval and the goal.
+func (a *Answer) boxesPlot(goal float64) (*plot.Plot, error) {
+	p := axes("Boxes against the goal", "boxes", "service")
+	var points errorPoints
+	for _, o := range a.Fleets {
+		points.XYs = append(points.XYs, plotter.XY{X: float64(o.Boxes), Y: o.Service.Mean})
+		points.YErrors = append(points.YErrors, struct{ Low, High float64 }{o.Service.Half, o.Service.Half})
+	}
+	line, marks, err := plotter.NewLinePoints(points.XYs)
+	if err != nil {
+		return nil, err
+	}
+	bars, err := plotter.NewYErrorBars(points)
+	if err != nil {
+		return nil, err
+	}
+	line.Color, marks.Color, bars.Color = blue, blue, blue
+	p.Add(line, marks, bars)
+	return p, across(p, points.XYs[0].X, points.XYs[len(points.XYs)-1].X, goal)
+}
+
+type errorPoints struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
 // timelinePlot is service over the day on which a station's boxes go dark.
 func (a *Answer) timelinePlot(dark, back float64) (*plot.Plot, error) {
 	p := axes("The boxes of "+a.Lost+" go dark", "seconds", "service")
@@ -191,9 +243,11 @@
 <p class="key">{{.A.Boxes}} boxes, {{printf "%.1f" .F.Load.Rate}} jobs a second.
 {{if .A.Next}}The goals are kept up to load &times; {{factor .A.Tip}} and no more from &times; {{factor .A.Next}} on.{{else if .A.Tip}}The goals are kept up to load &times; {{factor .A.Tip}}, the most that was tried.{{end}}
 {{if .A.Fleet}}{{.A.Fleet}}.{{end}}</p>
-{{if .A.First}}<h2>First to give way</h2><ol>{{range .A.First}}<li>{{.Resource}}, {{.Where}}: {{percent .Use}} used there</li>{{end}}</ol>{{end}}
+{{if .A.First}}<h2>First to give way</h2><ol>{{range .A.First}}<li>{{.Resource}}, {{.Where}}: {{percent .Use}} used there, full at load &times; {{factor .At}}</li>{{end}}</ol>{{end}}
 {{if .Curve}}<h2>Load</h2><div class="plot">{{.Curve}}</div><p>The band is the 95% interval of the mean day, the dashed line the goal, the red line where it is missed first.</p>
+{{if .Stations}}<div class="plot">{{.Stations}}</div>{{end}}
 {{template "rows" .A.Curve}}{{end}}
+{{if .Boxes}}<h2>Boxes</h2><div class="plot">{{.Boxes}}</div><p>In the proportions of today's fleet; the bars are 95% intervals, the dashed line the goal for service.</p>{{end}}
 {{if .Timeline}}<h2>A station goes dark</h2><div class="plot">{{.Timeline}}</div><p>Service of what was sent in each 2 s; between the dashed lines the boxes are gone.</p>{{end}}
 {{define "rows"}}<div class="wide"><table><tr><th>day</th><th class="n">service</th><th class="n">&plusmn;</th><th class="n">worst 10 s</th><th class="n">tries a job</th><th class="n">days</th><th>goals</th><th></th></tr>
 {{range .}}<tr><td>{{.Name}}</td><td class="n">{{three .Service.Mean}}</td><td class="n">{{three .Service.Half}}</td><td class="n">{{three .Worst10s.Mean}}</td><td class="n">{{printf "%.2f" .Tries}}</td><td class="n">{{.Days}}</td><td class="{{if eq .Verdict "kept"}}kept{{else if eq .Verdict "missed"}}missed{{else}}cant{{end}}">{{.Verdict}}</td><td>{{.Why}}</td></tr>{{end}}</table></div>{{end}}
@@ -207,10 +261,19 @@
 // HTML writes an answer as one page that needs nothing else.
 func (a *Answer) HTML(w io.Writer, f *Fleet) error {
 	data := struct {
-		A               *Answer
-		F               *Fleet
-		Curve, Timeline template.HTML
+		A                                *Answer
+		F                                *Fleet
+		Curve, Timeline, Stations, Boxes template.HTML
 	}{A: a, F: f}
+	if len(a.Fleets) > 1 {
+		p, err := a.boxesPlot(f.Goals.Service)
+		if err != nil {
+			return err
+		}
+		if data.Boxes, err = svg(p); err != nil {
+			return err
+		}
+	}
 	if len(a.Curve) > 1 {
 		p, err := a.curvePlot(f.Goals.Service)
 		if err != nil {
@@ -219,6 +282,13 @@
 		if data.Curve, err = svg(p); err != nil {
 			return err
 		}
+		stations, _, _ := f.Names()
+		if p, err = a.stationsPlot(stations); err != nil {
+			return err
+		}
+		if data.Stations, err = svg(p); err != nil {
+			return err
+		}
 	}
 	if len(a.Timeline) > 0 {
 		third := f.length().Seconds() / 3
--- a/sim/box.go
+++ b/sim/box.go
@@ -40,6 +40,7 @@
 	plan    int           // the completion that is planned now; older ones are void
 	busy    float64       // core-seconds of work, as a share of all cores
 	recent  []sent        // to a cold box, within FallTime
+	conns   int           // open, in use or idle
 	result  *BoxResult
 }
 
@@ -242,7 +243,12 @@
 	}
 	b.advance()
 	all := append(append([]*attempt(nil), b.running...), b.waiting...)
-	b.running, b.waiting, b.recent = nil, nil, nil
+	b.running, b.waiting, b.recent, b.conns = nil, nil, nil, 0
+	if !silent {
+		for _, d := range b.r.dispatchers {
+			d.idle[b.id-1] = 0
+		}
+	}
 	b.plan++
 	b.life++
 	b.up, b.silent = false, silent
--- a/sim/dispatcher.go
+++ b/sim/dispatcher.go
@@ -174,6 +174,8 @@
 	switch status {
 	case balance.OK, balance.Full, balance.Errored, balance.Cancelled:
 		d.idle[a.box.id-1]++
+	case balance.TimedOut: // the connection is closed
+		a.box.conns = max(a.box.conns-1, 0)
 	}
 	if status == balance.OK {
 		d.answer(j, Served, 0)
@@ -239,10 +241,11 @@
 		r.after(0, written)
 	case !ok || b.silent: // no connection comes up
 		r.after(r.Connect, func() { d.outcome(a, balance.ConnectFailed) })
-	case !b.up:
+	case !b.up, b.kind.Connections > 0 && b.conns >= b.kind.Connections:
 		r.after(to+back, func() { d.outcome(a, balance.ConnectFailed) })
 	default:
 		r.result.Connections++
+		b.conns++
 		r.after(to+back, written)
 	}
 }
@@ -357,6 +360,9 @@
 		return
 	}
 	d.dead = true
+	for i, n := range d.idle {
+		d.r.boxes[i].conns = max(d.r.boxes[i].conns-n, 0)
+	}
 	for _, id := range d.ids {
 		j := d.jobs[id]
 		if j == nil {
--- a/sim/result.go
+++ b/sim/result.go
@@ -179,6 +179,9 @@
 	}
 	r.open--
 	r.result.Ended = r.now
+	if r.Ended != nil {
+		r.Ended(j.arrival, r.now, end)
+	}
 	c := &r.result.Classes[j.class]
 	switch took := r.now - a.At; end {
 	case Served:
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -44,7 +44,8 @@
 	Queue int     // jobs that wait for a slot; one more is turned away unseen
 	Speed float64 // work done in a second by a core
 	// Spread is the standard deviation of single boxes' speeds over the mean.
-	Spread float64
+	Spread      float64
+	Connections int // that a box takes; 0: any number
 	// Crowding is what running twice as many jobs as there are cores costs, as a share of the speed of all.
 	Crowding float64
 }
@@ -143,6 +144,8 @@
 	Policy      func(s balance.Settings, seed uint64, do balance.Actions) Policy
 	End         time.Duration // the run ends when nothing is open any more, and then at the latest
 	Window      time.Duration // of the series in the result; 0: 10 s
+	// Ended, if it is set, is told of every job's end, by its place among the arrivals.
+	Ended func(arrival int, at time.Duration, end End)
 }
 
 // Policy decides for one dispatcher. *balance.Dispatcher is the one that counts.
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -91,6 +91,50 @@
 	}
 }
 
+// TestTandem: what leaves one queue goes to the next. After Burke the second is a queue like the first, and their times add up.
+func TestTandem(t *testing.T) {
+	const seeds, n, rate = 10, 8000, 6.0
+	exp := Dist{Mean: 0.1, Shape: Exponential}
+	var means []float64
+	for seed := range uint64(seeds) {
+		first := oneBox(1, 1, poisson(seed, rate, n, exp))
+		second := stream(seed, "second")
+		var next []Arrival
+		sum := 0.0
+		first.Ended = func(i int, at time.Duration, _ End) {
+			sum += (at - first.Arrivals[i].At).Seconds()
+			next = append(next, Arrival{At: at, Work: exp.Draw(second), Left: time.Hour})
+		}
+		Run(first, seed)
+		r := Run(oneBox(1, 1, next), seed)
+		means = append(means, sum/n+r.Classes[0].Latency.Mean()/1e6)
+	}
+	mean, sq := 0.0, 0.0
+	for _, x := range means {
+		mean += x / seeds
+	}
+	for _, x := range means {
+		sq += (x - mean) * (x - mean)
+	}
+	const want = 2 * 0.1 / (1 - rate*0.1)
+	if se := math.Sqrt(sq / (seeds - 1) / seeds); math.Abs(mean-want) > 4*se || math.Abs(mean-want) > 0.05*want {
+		t.Errorf("mean %.4f ± %.4f, want %.4f", mean, se, want)
+	}
+}
+
+// TestConnections: a box that is out of connections refuses new ones, and the job goes elsewhere.
+func TestConnections(t *testing.T) {
+	w := deployment(1, 10, 5, 15, 20*time.Second)
+	for i := range w.Kinds {
+		w.Kinds[i].Connections = 2
+	}
+	r := Run(w, 1)
+	account(t, "few connections", r, w)
+	if free := Run(deployment(1, 10, 5, 15, 20*time.Second), 1); r.Connections >= free.Connections && r.Again <= free.Again {
+		t.Errorf("%d connections and %d second attempts, %d and %d without a bound", r.Connections, r.Again, free.Connections, free.Again)
+	}
+}
+
 // deployment is a day of the size of the platform's: boxes of two kinds in five stations, three dispatchers.
 func deployment(seed uint64, boxes, dispatchers int, rate float64, span time.Duration) *World {
 	const stations = 5
