--- a/internal/settings/cuefile/cuefile.go
+++ b/internal/settings/cuefile/cuefile.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"cuelang.org/go/cue"
@@ -57,6 +58,26 @@
 	return v.MarshalJSON()
 }
 
+// Line is where a text sets a field, or the nearest one that it is in; 0 where it sets none of them. It is for mistakes that
+// a schema cannot see. Numbers among the names are places in lists.
+func Line(text []byte, field ...string) int {
+	v, line := cuecontext.New().CompileBytes(text), 0
+	for _, name := range field {
+		if i, err := strconv.Atoi(name); err == nil && v.Kind() == cue.ListKind {
+			v = v.LookupPath(cue.MakePath(cue.Index(i)))
+		} else {
+			v = v.LookupPath(cue.MakePath(cue.Str(name)))
+		}
+		if !v.Exists() {
+			break
+		}
+		if at := v.Pos(); at.IsValid() {
+			line = at.Line()
+		}
+	}
+	return line
+}
+
 // mistakes lists what is wrong, with the place in the file where there is one.
 func mistakes(name, definition string, err error) Error {
 	var all Error
--- a/plan/fleet.go
+++ b/plan/fleet.go
@@ -10,7 +10,10 @@
 	"maps"
 	"math"
 	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"liftgauge/balance"
@@ -153,54 +156,59 @@
 	if err := json.Unmarshal(out, f); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
-	return f, f.check(name)
+	return f, f.check(name, text)
 }
 
 // check looks for what a schema cannot see.
-func (f *Fleet) check(name string) error {
+func (f *Fleet) check(name string, text []byte) error {
 	var wrong cuefile.Error
-	add := func(field, format string, args ...any) {
-		wrong = append(wrong, fmt.Sprintf("%s: %s: %s", name, field, fmt.Sprintf(format, args...)))
+	add := func(field []string, format string, args ...any) {
+		at := filepath.Base(name)
+		if line := cuefile.Line(text, field...); line > 0 {
+			at += fmt.Sprint(":", line)
+		}
+		wrong = append(wrong, fmt.Sprintf("%s: %s: %s", at, strings.Join(field, "."), fmt.Sprintf(format, args...)))
 	}
+	at := func(field ...string) []string { return field }
 	if len(f.Stations) == 0 {
-		add("stations", "want at least one")
+		add(at("stations"), "want at least one")
 	}
 	if len(f.Classes) == 0 {
-		add("classes", "want at least one")
+		add(at("classes"), "want at least one")
 	}
 	boxes, dispatchers := 0, 0
 	for _, s := range slices.Sorted(maps.Keys(f.Stations)) {
 		dispatchers += f.Stations[s].Dispatchers
 		for _, k := range slices.Sorted(maps.Keys(f.Stations[s].Boxes)) {
 			if _, ok := f.Kinds[k]; !ok {
-				add("stations."+s+".boxes."+k, "want a kind that kinds has")
+				add(at("stations", s, "boxes", k), "want a kind that kinds has")
 			}
 			boxes += f.Stations[s].Boxes[k]
 		}
 	}
 	if boxes == 0 && len(f.Stations) > 0 {
-		add("stations", "want at least one box")
+		add(at("stations"), "want at least one box")
 	}
 	if dispatchers == 0 && len(f.Stations) > 0 {
-		add("stations", "want at least one dispatcher")
+		add(at("stations"), "want at least one dispatcher")
 	}
 	if f.captured == nil && !f.fits {
 		for _, k := range slices.Sorted(maps.Keys(f.Kinds)) {
 			if f.Kinds[k].Speed == 0 {
-				add("kinds."+k+".speed", "want a number, as no captured load is there to fit it from")
+				add(at("kinds", k, "speed"), "want a number, as no captured load is there to fit it from")
 			}
 		}
 	}
 	for i, w := range f.Network.Ways {
 		for _, s := range []string{w.From, w.To} {
 			if _, ok := f.Stations[s]; !ok {
-				add(fmt.Sprint("network.ways[", i, "]"), "want a station, have %q", s)
+				add(at("network", "ways", strconv.Itoa(i)), "want a station, have %q", s)
 			}
 		}
 	}
 	for _, c := range slices.Sorted(maps.Keys(f.Goals.InTime)) {
 		if _, ok := f.Classes[c]; !ok {
-			add("goals.inTime."+c, "want a class that classes has")
+			add(at("goals", "inTime", c), "want a class that classes has")
 		}
 	}
 	if len(wrong) > 0 {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -52,13 +52,13 @@
 func TestFleetMistakes(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`speed: 0.7`, `speed: -1`, "f.cue:6: kinds.slow.speed: invalid value -1"},
-		{`slow: 2}, disp`, `odd: 2}, disp`, "f.cue: stations.b.boxes.odd: want a kind"},
+		{`slow: 2}, disp`, `odd: 2}, disp`, "f.cue:4: stations.b.boxes.odd: want a kind"},
 		{`"200ms", stretch`, `200, stretch`, "f.cue:8: classes.reading.aim: conflicting values 200"},
 		{`load: {rate`, `lode: {rate`, "f.cue:11: lode: field not allowed"},
-		{`goals: {`, `goals: {inTime: other: 0.5, `, "f.cue: goals.inTime.other: want a class"},
-		{`kinds: {`, `network: ways: [{from: "a", to: "z", oneWay: "1ms"}]` + "\nkinds: {", "f.cue: network.ways[0]: want a station, have \"z\""},
+		{`goals: {`, `goals: {inTime: other: 0.5, `, "f.cue:12: goals.inTime.other: want a class"},
+		{`kinds: {`, `network: ways: [{from: "a", to: "z", oneWay: "1ms"}]` + "\nkinds: {", "f.cue:6: network.ways.0: want a station, have \"z\""},
 		{`boxes: {fast: 3}`, `boxes: {fast: 3, x: x}`, "stations.a.boxes.x: "},
-		{`{cores: 2, speed: 0.7}`, `{cores: 2}`, "f.cue: kinds.slow.speed: want a number"},
+		{`{cores: 2, speed: 0.7}`, `{cores: 2}`, "f.cue:6: kinds.slow.speed: want a number"},
 		{"\nstations", "\nimport \"f.cue\"\nstations", "f.cue:2: "},
 		{`effect: "unsafe"`, `effect: "sometimes"`, "f.cue:9: classes.warning.effect: "},
 	} {
