--- a/plan/fleet.cue
+++ b/plan/fleet.cue
@@ -40,6 +40,7 @@
 	load: {
 		rate:   number & >=0 // jobs a second in all, at load factor 1
 		length: #Duration | *"60s"
+		busiest: number & >=1 | *1 // load factor of the busiest day, on which a deploy is tried
 		bursts: [...{at: #Duration, for: #Duration, factor: number & >0}]
 	}
 	rules: {
@@ -59,6 +60,7 @@
 		cpuPerJob: #Duration | *"100us" // measured by liftlab overhead
 		cores:     number & >0 | *1
 		sockets:   int & >=32 | *1024
+		queue:     int & >=1 | *4096 // events that may wait for it
 		memoryMB:  int & >=16 | *192
 		body:      int & >=0 | *1024 // bytes of a job and its result
 	}
--- a/plan/fleet.go
+++ b/plan/fleet.go
@@ -97,7 +97,9 @@
 	Load struct {
 		Rate   float64  `json:"rate"`
 		Length Duration `json:"length"`
-		Bursts []struct {
+
+		Busiest float64 `json:"busiest"`
+		Bursts  []struct {
 			At     Duration `json:"at"`
 			For    Duration `json:"for"`
 			Factor float64  `json:"factor"`
@@ -126,6 +128,7 @@
 		CPUPerJob Duration `json:"cpuPerJob"`
 		Cores     float64  `json:"cores"`
 		Sockets   int      `json:"sockets"`
+		Queue     int      `json:"queue"`
 		MemoryMB  int      `json:"memoryMB"`
 		Body      int      `json:"body"`
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -70,6 +70,8 @@
 		add("a dispatcher's CPU", s, rate*time.Duration(f.Dispatcher.CPUPerJob).Seconds()/f.Dispatcher.Cores, true)
 		// A client holds its connection while its job is open; a quarter of the descriptors are for hosts.
 		open := rate * (f.work()/max(speed, 1e-12) + 2*time.Duration(f.Network.Crossing).Seconds())
+		// A job is some five events, and a quarter of a second of them may wait behind one long stop.
+		add("a dispatcher's queue", s, rate*5/4/float64(f.Dispatcher.Queue), true)
 		memory := budget.Share(int64(f.Dispatcher.MemoryMB) << 20).Messages
 		add("a dispatcher's memory", s, open*float64(budget.Message+f.Dispatcher.Body)/float64(memory), true)
 		add("a dispatcher's descriptors", s, open/(float64(f.Dispatcher.Sockets-32)*3/4), true)
@@ -455,8 +457,9 @@
 func (p *Planner) whatIf(ctx context.Context, a *Answer) error {
 	stations, _, _ := p.Fleet.Names()
 	third := p.Fleet.length() / 3
+	factor := 1.0
 	ask := func(name string, faults func(w *sim.World) []sim.Fault) error {
-		o, err := p.Judge(ctx, name, p.Fleet, 1, func(w *sim.World) { w.Faults = faults(w) })
+		o, err := p.Judge(ctx, name, p.Fleet, factor, func(w *sim.World) { w.Faults = faults(w) })
 		if err == nil {
 			a.WhatIf = append(a.WhatIf, o)
 		}
@@ -503,7 +506,11 @@
 			return err
 		}
 	}
-	return ask("a rolling deploy of all boxes", func(w *sim.World) (all []sim.Fault) {
+	name := "a rolling deploy of all boxes"
+	if factor = max(1, p.Fleet.Load.Busiest); factor > 1 {
+		name += fmt.Sprintf(" at load x %.2f", factor)
+	}
+	return ask(name, func(w *sim.World) (all []sim.Fault) {
 		for i := range w.Boxes {
 			all = append(all, sim.Fault{At: third/2 + 2*third*time.Duration(i)/time.Duration(len(w.Boxes)), Effect: sim.BoxDrains, Target: i, For: time.Second})
 		}
