--- a/cmd/liftlab/plan.go
+++ b/cmd/liftlab/plan.go
@@ -54,8 +54,9 @@
 				return errors.New("want two days at least, and no fewer at most")
 			}
 			out := cmd.OutOrStdout()
+			var fitted []string
 			if len(captured) > 0 {
-				if err := useCaptured(cmd, f, captured); err != nil {
+				if fitted, err = useCaptured(f, captured); err != nil {
 					return err
 				}
 			}
@@ -73,6 +74,7 @@
 			if err != nil {
 				return err
 			}
+			a.Fitted = fitted
 			a.Text(out, f)
 			if html != "" {
 				file, err := os.Create(html)
@@ -168,7 +170,7 @@
 }
 
 // useCaptured reads capture files and says what was fitted from them.
-func useCaptured(cmd *cobra.Command, f *plan.Fleet, files []string) error {
+func useCaptured(f *plan.Fleet, files []string) (said []string, err error) {
 	var all []capture.Record
 	var head capture.Header
 	dropped := int64(0)
@@ -178,26 +180,26 @@
 			return nil
 		})
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if i > 0 && !(slices.Equal(head.Classes, r.Header.Classes) && slices.Equal(head.Zones, r.Header.Zones) && slices.Equal(head.Kinds, r.Header.Kinds)) {
-			return fmt.Errorf("%s: its classes, stations or kinds are not those of %s", path, files[0])
+			return nil, fmt.Errorf("%s: its classes, stations or kinds are not those of %s", path, files[0])
 		}
 		head = r.Header
 		dropped += r.Dropped
 		if text := faults(path, r); text != "" {
-			fmt.Fprintln(cmd.OutOrStdout(), text)
+			said = append(said, text)
 		}
 	}
 	fitted, speeds, err := f.UseCaptured(head, all, dropped)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, x := range speeds {
-		fmt.Fprintf(cmd.OutOrStdout(), "fitted from %d runs on %s: %s\n", x.Runs, x.Kind, x)
+		said = append(said, fmt.Sprintf("%s, from %d warm runs: %s", x.Kind, x.Runs, x))
 	}
 	for _, x := range fitted {
-		fmt.Fprintf(cmd.OutOrStdout(), "fitted from %d of %d records of %s: work %.4f ± %.4f s; %d left out\n", x.Runs, x.Records, x.Class, x.Work.Mean, x.Work.Half, x.Skipped)
+		said = append(said, fmt.Sprintf("%s, from %d of %d records: work %.4f ± %.4f s; %d left out", x.Class, x.Runs, x.Records, x.Work.Mean, x.Work.Half, x.Skipped))
 	}
-	return nil
+	return said, nil
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -298,6 +298,7 @@
 	Curve    []Outcome `json:"curve"`
 	WhatIf   []Outcome `json:"what_if"`
 	Partial  bool      `json:"partial"`
+	Fitted   []string  `json:"fitted"` // from captured load, if that was used: what, and from how much
 	Timeline []sim.Window
 	Lost     string  `json:"timeline_of"`
 	Seconds  float64 `json:"seconds"`
@@ -470,7 +471,7 @@
 		for _, kind := range []struct {
 			name    string
 			effects []sim.Effect
-		}{{"boxes", []sim.Effect{sim.StationBoxes}}, {"links", []sim.Effect{sim.StationLinks}}, {"boxes and clients", []sim.Effect{sim.StationBoxes, sim.StationUsers}}} {
+		}{{"boxes", []sim.Effect{sim.StationBoxes}}, {"clients", []sim.Effect{sim.StationUsers}}, {"links", []sim.Effect{sim.StationLinks}}, {"boxes and clients", []sim.Effect{sim.StationBoxes, sim.StationUsers}}} {
 			faults := func(*sim.World) (all []sim.Fault) {
 				for _, e := range kind.effects {
 					all = append(all, sim.Fault{At: third, Effect: e, Target: i, For: third})
--- a/plan/report.go
+++ b/plan/report.go
@@ -22,6 +22,9 @@
 		fmt.Fprintln(w, "PARTIAL: it was ended before all was answered.")
 	}
 	fmt.Fprintf(w, "%d boxes, %.1f jobs a second, %.0f s a day.\n\n", a.Boxes, f.Load.Rate, f.length().Seconds())
+	for _, line := range a.Fitted {
+		fmt.Fprintln(w, line)
+	}
 	fmt.Fprintln(w, "By hand, the part of each resource that is used at load 1:")
 	for _, l := range a.Bounds[:min(8, len(a.Bounds))] {
 		note := ""
@@ -254,6 +257,7 @@
 {{if .A.WhatIf}}<h2>What if</h2>{{template "rows" .A.WhatIf}}{{end}}
 <h2>By hand</h2><div class="wide"><table><tr><th>resource</th><th>where</th><th class="n">used at load 1</th><th class="n">full at load &times;</th><th></th></tr>
 {{range .A.Bounds}}<tr><td>{{.Resource}}</td><td>{{.Where}}</td><td class="n">{{percent .Use}}</td><td class="n">{{factor .At}}</td><td>{{if not .Hard}}others take over{{end}}</td></tr>{{end}}</table></div>
+{{if .A.Fitted}}<h2>Fitted from captured load</h2><ul>{{range .A.Fitted}}<li>{{.}}</li>{{end}}</ul>{{end}}
 <p>Seed {{.A.Seed}}; {{printf "%.1f" .A.Seconds}} s. Forecasts of a model: docs/planner.md says what it leaves out.</p>
 </body></html>
 `))
