Tell a successor of the inventory's hosts only; take no job on a connection that is closed

Tried with two real processes and the C library's client: the successor followed 8 'hosts' that were the old process's Gearman workers, and its first job cost an attempt at one. And a job that crossed the closing of its connection in an upgrade was taken though nobody could be told. Both have a test now.

--- a/internal/gearman/client.go
+++ b/internal/gearman/client.go
@@ -103,6 +103,10 @@
 	d := &job{work: w, conn: c.id, since: now}
 	p := f.Priority(priority)
 	s.mu.Lock()
+	if c.shut {
+		s.mu.Unlock()
+		return hold
+	}
 	most, set := s.queues[name]
 	if !set {
 		most = f.MaxQueue
--- a/internal/gearman/conn.go
+++ b/internal/gearman/conn.go
@@ -26,6 +26,7 @@
 	small []byte // for bodies that are dealt with at once
 
 	// Guarded by the server's lock.
+	shut       bool   // closed from here, to send its peer elsewhere
 	client     string // id that it gave
 	exceptions bool
 	worker     *state.Worker[*owner.Attempt] // nil until it says that it can do something
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -231,6 +231,7 @@
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
 		if s.jobs.Len() == 0 && (c.worker == nil || c.worker.Running() == 0) {
+			c.shut = true // a job that its reader still has in hand is not taken: nobody could be told of it
 			c.Close()
 		}
 	}
--- a/internal/gearman/upgrade_test.go
+++ b/internal/gearman/upgrade_test.go
@@ -66,3 +66,25 @@
 		}
 	})
 }
+
+// TestSuccessor: a successor is not told of workers as hosts, and a job that crosses the closing of its connection is not taken.
+func TestSuccessor(t *testing.T) {
+	within(t, nil, 2, func(w *world) {
+		w.worker("x", warning)
+		c := w.dial()
+		w.wait(time.Second)
+		if hosts, err := w.o.Hosts(t.Context()); err != nil || len(hosts) != 2 {
+			t.Errorf("%d hosts, %v", len(hosts), err)
+		}
+		w.s.mu.Lock()
+		for _, d := range w.s.conns {
+			d.shut = true
+		}
+		w.s.mu.Unlock()
+		c.say(packet.SubmitJob, warning, "", "x")
+		c.want()
+		if n := w.s.Counts(); n.Submitted != 0 {
+			t.Errorf("%+v", n)
+		}
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -375,11 +375,12 @@
 	return known, err
 }
 
-// Hosts returns what the inventory lists.
+// Hosts returns what the inventory lists, without hosts that came by themselves: a successor that took those for its own
+// would call them.
 func (o *Owner) Hosts(ctx context.Context) (all []Host, err error) {
 	err = o.ask(ctx, func(time.Duration) {
 		for _, h := range o.hosts {
-			if h.listed {
+			if h.listed && h.Via == nil {
 				all = append(all, h.Host)
 			}
 		}
