--- a/internal/gearman/upgrade_test.go
+++ b/internal/gearman/upgrade_test.go
@@ -73,7 +73,7 @@
 		w.worker("x", warning)
 		c := w.dial()
 		w.wait(time.Second)
-		if hosts, err := w.o.Hosts(t.Context()); err != nil || len(hosts) != 2 {
+		if hosts, err := w.o.Hosts(w.t.Context()); err != nil || len(hosts) != 2 {
 			t.Errorf("%d hosts, %v", len(hosts), err)
 		}
 		w.s.mu.Lock()
