Withdraw keyed jobs that wait at a worker where traffic is thin

The lines at fault: spare and place in balance.go send on the own count alone, and look took back safe jobs only, of which this deployment has none.

Ruled out: probes as a measure of queues. Ruled out: withdrawal as proof. 2,412 withdrawn attempts ended as cancelled, none was handed back as unstarted, so an unsafe job cannot move.

Change: where there are more than six dispatchers a keyed job that has not started when its start was due is taken back and goes to another worker of its cell, all but its last attempt. Probes for load, which this deployment never makes, went to make room. The south side logs the end of a probe at debug level.

--- a/balance/api.go
+++ b/balance/api.go
@@ -68,7 +68,6 @@
 	RoughWeights   bool // listed weights are the size, more or less
 	TellsStart     bool // workers tell when a job starts
 	TellsWritten   bool // the host tells by Written when an attempt is on its way; else it is so at once
-	ProbeForLoad   bool // load reports come with probes only
 	WorthByWork    bool // worth counts for each unit of work, not for each job
 	LateShedding   bool // workers also answer 'full' for work that they had begun: it proves nothing
 	GoneIsAdvice   bool // a worker listed as gone, or left out, may still be sent to unless it drained first
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	talk      = 0.004 // the share of the result that may go into probes for load
-	threshold = 2     // k of the report: own jobs at a worker that tells nothing of its slots
-	turns     = 8     // turns in a period for each worker, on average; more only sharpens the proportions
-	reach     = 32    // workers looked at past the scheduled one: no job costs a walk over a large fleet
+	threshold = 2  // k of the report: own jobs at a worker that tells nothing of its slots
+	turns     = 8  // turns in a period for each worker, on average; more only sharpens the proportions
+	reach     = 32 // workers looked at past the scheduled one: no job costs a walk over a large fleet
 
 	goneKept = 10 * time.Minute // workers that are listed no more are remembered so long where gone is advice
 )
@@ -374,12 +373,6 @@
 		d.forget(r)
 		return
 	}
-	if d.s.ProbeForLoad && d.s.CanProbe && len(d.sorted) > 0 {
-		for range int(talk / max(d.s.ProbeFee, 0.001)) {
-			d.probe++
-			d.do.Probe(d.sorted[d.probe%len(d.sorted)].ID)
-		}
-	}
 	d.hold(r)
 	d.drain(now)
 	d.wake(now, r)
@@ -658,6 +651,7 @@
 		now-r.tries[i].wrote >= d.patience {
 		// It waits there. A safe job is taken back if another has room, but for the last two attempts, as it
 		// may run on all the same, and not where many are turned away: rooms are short there and it is next.
+		// Thin traffic learns of a queue only so: there a keyed job too, and all but the last attempt.
 		a := &r.tries[i]
 		a.wait(true)
 		d.saw(now, a.w, true)
@@ -665,8 +659,9 @@
 			d.giveUp(r)
 			return
 		}
-		if r.c.Effect == Safe && d.s.CanCancel && !a.called && i+2 < d.s.MaxAttempts &&
-			d.turned < 0.05 && d.route(now, r) != nil {
+		more := d.s.MaxAttempts - i - 1
+		if (r.c.Effect == Safe && more > 1 || d.thin && r.c.Effect != Unsafe && more > 0) &&
+			d.s.CanCancel && !a.called && d.turned < 0.05 && d.route(now, r) != nil {
 			a.called = true
 			d.do.Cancel(r.ID, i)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -117,10 +117,10 @@
 	gap     []float64          // by tenant: seconds between its jobs
 	jobsOf  []int              // jobs in that
 	asked   []time.Duration    // by tenant: its last job
+	thin    bool               // own jobs are so small a part of all that they don't tell how full a worker is
 	placed  float64            // share of recent jobs that found room as they came
 	trust   float64            // in workers that have joined the list and not served yet
 	turned  float64            // share of recent attempts that were turned away
-	probe   int                // next worker to probe for load
 	tick    time.Duration      // between looks at what only waits
 	// patience is how long a start may take where there is room: a few times the way there and back, of which the
 	// time-out of a connection allows several.
@@ -315,7 +315,7 @@
 
 // New returns a Dispatcher that acts through do. Random numbers are drawn from the seed alone.
 func New(s Settings, seed uint64, do Actions) *Dispatcher {
-	d := &Dispatcher{s: s, do: do, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, placed: 1, trust: 1, probe: int(seed >> 40),
+	d := &Dispatcher{s: s, do: do, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, placed: 1, trust: 1,
 		workers: map[WorkerID]*worker{}, kinds: map[int]*kind{}, periods: map[periodKey]*period{},
 		jobs: map[JobID]*request{}, offline: map[WorkerID]time.Duration{}}
 	d.s.Tick = max(s.Tick, time.Millisecond)
@@ -331,5 +331,6 @@
 	d.asked = make([]time.Duration, len(s.Tenants))
 	d.s.Dispatchers, d.s.MaxAttempts = max(s.Dispatchers, 1), max(s.MaxAttempts, 1)
 	d.s.Number = max(s.Number, 0) % d.s.Dispatchers
+	d.thin = d.s.Dispatchers > 2*(threshold+1) // under half a job each of those that a worker takes at first
 	return d
 }
--- a/balance/untrue_test.go
+++ b/balance/untrue_test.go
@@ -1,8 +1,10 @@
 package balance_test
 
 import (
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -447,3 +449,28 @@
 		t.Errorf("given up after %v", took)
 	}
 }
+
+// TestThinTrafficWithdrawsKeyedJobs: one of many dispatchers learns of a queue only by a job of its own that waits there.
+// A keyed one is taken back then and goes to another worker of its cell, all but its last attempt; one of a few stays, and
+// an unsafe one always does.
+func TestThinTrafficWithdrawsKeyedJobs(t *testing.T) {
+	for _, c := range []struct {
+		dispatchers, class int
+		want               []string
+	}{{80, 3, []string{"cancel 1 0", "cancel 1 1"}}, {2, 3, nil}, {80, 4, nil}} {
+		s := settings()
+		s.FreeSlots, s.Dispatchers, s.MaxAttempts = -1, c.dispatchers, 3
+		h := newHost(t, s, []Worker{{ID: 1, Weight: 1}, {ID: 2, Weight: 1}, {ID: 3, Weight: 1}}...)
+		h.job(1, c.class)
+		for range s.MaxAttempts {
+			h.run(h.now + 50*ms) // its start is due after 17 ms
+			if n := len(h.sentFor[1]); len(h.acts) > 0 && h.acts[len(h.acts)-1] == fmt.Sprintf("cancel 1 %d", n-1) {
+				h.end(1, Cancelled)
+			}
+		}
+		got := slices.DeleteFunc(slices.Clone(h.acts), func(a string) bool { return !strings.HasPrefix(a, "cancel") })
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%d dispatchers, class %d: %q, want %q", c.dispatchers, c.class, got, c.want)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -28,7 +28,7 @@
 		Number: int(f.Whole("slotNo")), Dispatchers: int(f.Whole("replicasOfMe")), Zone: int(f.Whole("locality")),
 		Tick: f.Span("stepNs"), MustAsk: f.Text("membershipMode") == "on_request", AskWithin: rules.Span("askWithinNs"),
 		LiveWeights: f.Text("weightKind") == "live", RoughWeights: f.Text("weightKind") == "rough",
-		TellsStart: family.Flag("tellsStart"), ProbeForLoad: loads.Text("how") == "probe",
+		TellsStart:  family.Flag("tellsStart"),
 		WorthByWork: f.Text("worthBy") == "work", OverShareWorth: 1, FreeSlots: -1, FreeMemory: -1, Queue: -1,
 		MaxAttempts: int(limits.Whole("maxAttempts")), ConnectTimeout: limits.Span("connectTimeoutNs"),
 		CanCancel: limits.Flag("cancel"), CanProbe: limits.Flag("probes"),
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -128,7 +128,12 @@
 
 // Probe asks for a host's health.
 func (c *Client) Probe(h owner.Host) {
-	c.spawn(func() { c.Sink.Probed(h, c.probe(h)) })
+	c.spawn(func() {
+		began := c.Now()
+		status := c.probe(h)
+		c.Log.Debug("probe ended", "host", h.Name, "status", status, "took", c.Now()-began)
+		c.Sink.Probed(h, status)
+	})
 }
 
 // Forget closes the idle connections to a host; those in use end with what they carry.
