Remember queues that were met where traffic is thin; drop tenants' shares

Lines at fault: doubtful in estimate.go forgot a wait as soon as the job had started or was withdrawn.

Change: a worker where a job waited past its due start comes after all others for 4 s, unless one has started at once since. So a job leaves its own zone when all workers there are doubtful. Tenants' shares went to make room: this deployment has none, and they belong to the queues at the door.

--- a/balance/api.go
+++ b/balance/api.go
@@ -48,31 +48,24 @@
 	Streamed  bool
 }
 
-// Tenant is a party with a share of the service.
-type Tenant struct {
-	Quota float64 // jobs a second within its share, over all dispatchers; 0 for no limit
-}
-
 // Settings are what a dispatcher is told before it starts. New fills in a careful value for what is missing.
 type Settings struct {
-	Classes        []Class
-	Tenants        []Tenant
-	Number         int // of this dispatcher, from 0
-	Dispatchers    int
-	Zone           int
-	Tick           time.Duration // the shortest time between two events
-	MustAsk        bool          // the list of workers comes only to those who ask for it
-	AskWithin      time.Duration
-	Follows        bool // the list at the start is that of a process that this one takes over from
-	LiveWeights    bool // listed weights fall with the load at the worker
-	RoughWeights   bool // listed weights are the size, more or less
-	TellsStart     bool // workers tell when a job starts
-	TellsWritten   bool // the host tells by Written when an attempt is on its way; else it is so at once
-	WorthByWork    bool // worth counts for each unit of work, not for each job
-	LateShedding   bool // workers also answer 'full' for work that they had begun: it proves nothing
-	GoneIsAdvice   bool // a worker listed as gone, or left out, may still be sent to unless it drained first
-	MarksRetry     bool // clients mark what they send again
-	OverShareWorth float64
+	Classes      []Class
+	Number       int // of this dispatcher, from 0
+	Dispatchers  int
+	Zone         int
+	Tick         time.Duration // the shortest time between two events
+	MustAsk      bool          // the list of workers comes only to those who ask for it
+	AskWithin    time.Duration
+	Follows      bool // the list at the start is that of a process that this one takes over from
+	LiveWeights  bool // listed weights fall with the load at the worker
+	RoughWeights bool // listed weights are the size, more or less
+	TellsStart   bool // workers tell when a job starts
+	TellsWritten bool // the host tells by Written when an attempt is on its way; else it is so at once
+	WorthByWork  bool // worth counts for each unit of work, not for each job
+	LateShedding bool // workers also answer 'full' for work that they had begun: it proves nothing
+	GoneIsAdvice bool // a worker listed as gone, or left out, may still be sent to unless it drained first
+	MarksRetry   bool // clients mark what they send again
 	// Load reports: the place of a value in Report, or -1.
 	FreeSlots, FreeMemory, Queue int
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,6 +18,8 @@
 	turns     = 8  // turns in a period for each worker, on average; more only sharpens the proportions
 	reach     = 32 // workers looked at past the scheduled one: no job costs a walk over a large fleet
 
+	// Where a job of one dispatcher met a queue the next one meets one more often than elsewhere for some 4 s.
+	memory   = 4 * time.Second
 	goneKept = 10 * time.Minute // workers that are listed no more are remembered so long where gone is advice
 )
 
@@ -366,8 +368,6 @@
 	if !d.s.WorthByWork {
 		r.worth /= d.unit[r.class]
 	}
-	in := d.share(now, j.Tenant) // a tenant over its share yields to the others
-	r.worth *= in + (1-in)*d.s.OverShareWorth
 	if j.Left <= 3*d.s.Tick { // a last try with hardly any patience left must not wait for its timer
 		d.look(now, r)
 		d.forget(r)
@@ -382,18 +382,6 @@
 	}
 }
 
-// share is the part of a tenant's recent jobs that its quota covers, a fifth left for chance.
-func (d *Dispatcher) share(now time.Duration, tenant int) float64 {
-	if tenant < 0 || tenant >= len(d.gap) || d.s.Tenants[tenant].Quota <= 0 {
-		return 1
-	}
-	q := d.s.Tenants[tenant].Quota / float64(d.s.Dispatchers)
-	gap := min((now - d.asked[tenant]).Seconds(), 10/q)
-	d.gap[tenant] += (gap - d.gap[tenant]) * gain(&d.jobsOf[tenant], 0.05)
-	d.asked[tenant] = now
-	return min(1, 1.2*q*d.gap[tenant])
-}
-
 // drain sends what waits here and finds room. After a few that find none the rest would not either.
 func (d *Dispatcher) drain(now time.Duration) {
 	for n := range d.lanes { // none goes first for ever where lanes share workers
@@ -423,6 +411,7 @@
 		a.wait(false)
 		if a.started, a.began = true, now; a.wrote == 0 || now-a.wrote < d.patience {
 			d.saw(now, a.w, false)
+			a.w.fullTill = 0
 		}
 	}
 }
@@ -655,6 +644,9 @@
 		a := &r.tries[i]
 		a.wait(true)
 		d.saw(now, a.w, true)
+		if d.thin {
+			a.w.fullTill = now + memory
+		}
 		if r.late && r.c.LateWorth == 0 { // it holds a place in the queue for nothing: others go late by it
 			d.giveUp(r)
 			return
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -30,9 +30,10 @@
 }
 
 // doubtful: a job of this dispatcher waits there, or some were lost there lately and this one must not be.
+// Where traffic is thin one that waited there lately is all that tells of the others' jobs.
 // Such a worker comes after all others: one that is silent holds few jobs, and it serves when it is needed.
 func (w *worker) doubtful(now time.Duration, r *request) bool {
-	return w.waits > 0 || r.c.Effect == Unsafe && w.errs.lost(now) > 0.05
+	return w.waits > 0 || now < w.fullTill || r.c.Effect == Unsafe && w.errs.lost(now) > 0.05
 }
 
 // around draws from around a time: dispatchers that saw the same thing must not all act at one moment.
--- a/balance/state.go
+++ b/balance/state.go
@@ -28,6 +28,7 @@
 	fails    float64       // recent failures, as of failedAt
 	failedAt time.Duration
 	cut      bool          // the last failure was one to connect
+	fullTill time.Duration // until when a queue that a job met there is believed in
 	waits    int           // own attempts there that have not started in time
 	errs     way           // share of recent attempts there that may have run and were not served
 	proven   bool          // it was there at the start, or has served a job
@@ -114,9 +115,6 @@
 	unit    []float64          // by class: typical running time, for each second of hint where hints come
 	mean    float64            // mean running time of all jobs
 	first   []time.Duration    // by class: the longest patience seen, that of a first try
-	gap     []float64          // by tenant: seconds between its jobs
-	jobsOf  []int              // jobs in that
-	asked   []time.Duration    // by tenant: its last job
 	thin    bool               // own jobs are so small a part of all that they don't tell how full a worker is
 	placed  float64            // share of recent jobs that found room as they came
 	trust   float64            // in workers that have joined the list and not served yet
@@ -327,8 +325,6 @@
 	}
 	d.served = make([]int, len(d.s.Classes))
 	d.first = make([]time.Duration, len(d.s.Classes))
-	d.gap, d.jobsOf = make([]float64, len(s.Tenants)), make([]int, len(s.Tenants))
-	d.asked = make([]time.Duration, len(s.Tenants))
 	d.s.Dispatchers, d.s.MaxAttempts = max(s.Dispatchers, 1), max(s.MaxAttempts, 1)
 	d.s.Number = max(s.Number, 0) % d.s.Dispatchers
 	d.thin = d.s.Dispatchers > 2*(threshold+1) // under half a job each of those that a worker takes at first
--- a/balance/untrue_test.go
+++ b/balance/untrue_test.go
@@ -474,3 +474,31 @@
 		}
 	}
 }
+
+// TestThinTrafficRemembersQueues: where one of many dispatchers met a queue it sends elsewhere for a while, to the next in
+// order or past its own zone; a job that starts at once shows that the queue is gone. One of a few goes by its own count.
+func TestThinTrafficRemembersQueues(t *testing.T) {
+	for _, c := range []struct{ dispatchers, soon, later int }{{80, 0, 8}, {2, 8, 8}} {
+		s := settings()
+		s.FreeSlots, s.Dispatchers, s.CrossZoneFee = -1, c.dispatchers, 0.02
+		h := newHost(t, s, Worker{ID: 1, Weight: 1}, Worker{ID: 2, Weight: 1, Zone: 1})
+		h.job(1, 4)
+		h.run(h.now + 50*ms) // its start is due after 17 ms
+		h.end(1, OK)
+		met := func(from JobID) (n int) {
+			for id := from; id < from+8; id++ {
+				h.job(id, 4)
+				h.d.Started(h.now, id, 0)
+				if h.end(id, OK); h.sentFor[id][0] == 1 {
+					n++
+				}
+			}
+			return n
+		}
+		soon := met(10)
+		h.run(h.now + 5*time.Second)
+		if later := met(20); soon != c.soon || later != c.later {
+			t.Errorf("%d dispatchers: %d of 8 went to the own zone's worker after a queue there, %d after 5 s; want %d and %d", c.dispatchers, soon, later, c.soon, c.later)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,7 +29,7 @@
 		Tick: f.Span("stepNs"), MustAsk: f.Text("membershipMode") == "on_request", AskWithin: rules.Span("askWithinNs"),
 		LiveWeights: f.Text("weightKind") == "live", RoughWeights: f.Text("weightKind") == "rough",
 		TellsStart:  family.Flag("tellsStart"),
-		WorthByWork: f.Text("worthBy") == "work", OverShareWorth: 1, FreeSlots: -1, FreeMemory: -1, Queue: -1,
+		WorthByWork: f.Text("worthBy") == "work", FreeSlots: -1, FreeMemory: -1, Queue: -1,
 		MaxAttempts: int(limits.Whole("maxAttempts")), ConnectTimeout: limits.Span("connectTimeoutNs"),
 		CanCancel: limits.Flag("cancel"), CanProbe: limits.Flag("probes"),
 		SecondCopies: limits.Flag("secondCopies"), DrainGrace: rules.Span("drainGraceNs"),
@@ -43,9 +43,6 @@
 	if limits.Flag("retryAfter") {
 		s.MaxRetryAfter = limits.Span("maxRetryAfterNs")
 	}
-	if f.Has("overShareWorth") {
-		s.OverShareWorth = f.Float("overShareWorth")
-	}
 	stretches, kinds := family.Floats("classStretch"), family.Floats("classKind")
 	for i, c := range f.Objects("classes") {
 		k := balance.Class{Aim: c.Span("aimNs"), Stretch: c.Float("aimStretch"), Worth: c.Float("credit"),
@@ -72,9 +69,6 @@
 		s.Classes = append(s.Classes, k)
 		classes = append(classes, c.Text("name"))
 	}
-	for _, p := range f.Objects("projects") {
-		s.Tenants = append(s.Tenants, balance.Tenant{Quota: p.Float("quotaPerS")})
-	}
 	for i, meaning := range loads.Texts("columns") {
 		switch meaning {
 		case "x0":
