--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,7 @@
 	turns     = 8  // turns in a period for each worker, on average; more only sharpens the proportions
 	reach     = 32 // workers looked at past the scheduled one: no job costs a walk over a large fleet
 
-	// Where a job of one dispatcher met a queue the next one meets one more often than elsewhere for some 4 s.
+	// After a job that met a queue the next one there meets one more often than elsewhere for some 4 s.
 	memory   = 4 * time.Second
 	goneKept = 10 * time.Minute // workers that are listed no more are remembered so long where gone is advice
 )
