In thin traffic give fast workers more turns and cold ones more of the jobs

Lines at fault: size in balance.go loads both kinds alike, though a queue lasts longer at a slow worker and a thin dispatcher cannot see it; runs reckons with the slowest ramp that the settings allow (0.3 at the start), so that most jobs passed by workers that in truth had 0.6, as their running times show (2.2 times the hint in the first 1.5 s, 1.4 when warm).

Change, both where there are more than six dispatchers only: turns go by the square of the size; a cold worker's running times are expected half way between the slowest ramp and warm. The share of turns of a cold worker still goes by the slowest ramp: no margin of the rule was given up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,9 +70,7 @@
 		if w.Worker = e; e.State == Draining {
 			w.drained = true
 		}
-		if w.nominal = max(w.nominal, e.Weight); !d.s.LiveWeights {
-			w.nominal = e.Weight
-		}
+		w.nominal = e.Weight
 	}
 	d.changed(now)
 }
@@ -185,12 +183,13 @@
 	return p
 }
 
-// size is what a worker can do: its weight, which, if rough, may leave out the speed that its kind shows.
-func (d *Dispatcher) size(w *worker) float64 { return w.nominal / w.kind.built }
+// size is what a worker can do: its weight, which, if rough, may leave out the speed its kind shows. Thin
+// traffic meets queues unseen, and those of slow workers last longer at equal load: they get fewer turns.
+func (d *Dispatcher) size(w *worker) float64 { return math.Pow(w.nominal/w.kind.built, d.bias) }
 
 // runs is the expected running time of a job at a worker.
 func (d *Dispatcher) runs(now time.Duration, r *request, w *worker) time.Duration {
-	return seconds(d.unit[r.class] * r.size * pace(now, w) / d.warmth(now, w))
+	return seconds(d.unit[r.class] * r.size * pace(now, w) / d.expected(now, w))
 }
 
 // warmth is the share of its capacity that a worker surely has, by the slowest ramp that the settings allow.
@@ -203,6 +202,16 @@
 	return d.s.StartCapacity + (1-d.s.StartCapacity)*max(0, age.Seconds()/d.s.WarmWithin.Seconds())
 }
 
+// expected is the share of its capacity that a worker probably has. The settings name the slowest ramp. Thin
+// traffic, of which little tries what is cold, reckons with half way from there to warm; no rule hangs on it.
+func (d *Dispatcher) expected(now time.Duration, w *worker) float64 {
+	c := d.warmth(now, w)
+	if d.thin {
+		c = (1 + c) / 2
+	}
+	return c
+}
+
 // ramp: a cold worker gets a share of its scheduled turns, half of what the rule allows, and no overflow,
 // drawn for each turn, so that nothing saved up can meet there. In an overload turns come faster: fewer count
 // as fewer jobs find room, as what is turned away counts too; but one job at a time may go there.
@@ -472,7 +481,7 @@
 	d.mean += (took*r.size - d.mean) * g
 	d.unit[r.class] *= math.Pow(max(took, 1e-6)/d.unit[r.class], g)
 	ratio, p, k := max(took, 1e-6)/d.unit[r.class], pace(now, w), w.kind
-	off := ratio * d.warmth(now, w) / p
+	off := ratio * d.expected(now, w) / p
 	if g = 0.1; off > 3 { // no chance of a job's: it has become slow
 		g = 0.3
 	}
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -110,4 +110,7 @@
 	}
 	d.tick = max(d.tick, d.s.Tick)
 	d.patience = d.s.ConnectTimeout / 6
+	if d.bias = 1; d.s.Dispatchers > 2*(threshold+1) { // under half a job of all that a worker takes
+		d.thin, d.bias = true, 2
+	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -12,7 +12,7 @@
 type worker struct {
 	Worker
 	kind     *kind
-	nominal  float64       // size: the highest weight listed where a weight falls with load
+	nominal  float64       // size, as listed
 	own      float64       // slots taken by own attempts that are out
 	lag      float64       // own, smoothed to the age of a report
 	lagAt    time.Duration // when lag was last moved
@@ -116,6 +116,7 @@
 	mean    float64            // mean running time of all jobs
 	first   []time.Duration    // by class: the longest patience seen, that of a first try
 	thin    bool               // own jobs are so small a part of all that they don't tell how full a worker is
+	bias    float64            // sizes count to this power
 	placed  float64            // share of recent jobs that found room as they came
 	trust   float64            // in workers that have joined the list and not served yet
 	turned  float64            // share of recent attempts that were turned away
@@ -317,6 +318,7 @@
 		workers: map[WorkerID]*worker{}, kinds: map[int]*kind{}, periods: map[periodKey]*period{},
 		jobs: map[JobID]*request{}, offline: map[WorkerID]time.Duration{}}
 	d.s.Tick = max(s.Tick, time.Millisecond)
+	d.s.Dispatchers, d.s.MaxAttempts = max(s.Dispatchers, 1), max(s.MaxAttempts, 1)
 	d.assume()
 	for i := range d.s.Classes {
 		c := &d.s.Classes[i]
@@ -325,8 +327,6 @@
 	}
 	d.served = make([]int, len(d.s.Classes))
 	d.first = make([]time.Duration, len(d.s.Classes))
-	d.s.Dispatchers, d.s.MaxAttempts = max(s.Dispatchers, 1), max(s.MaxAttempts, 1)
 	d.s.Number = max(s.Number, 0) % d.s.Dispatchers
-	d.thin = d.s.Dispatchers > 2*(threshold+1) // under half a job each of those that a worker takes at first
 	return d
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -27,9 +27,9 @@
 	s = balance.Settings{
 		Number: int(f.Whole("slotNo")), Dispatchers: int(f.Whole("replicasOfMe")), Zone: int(f.Whole("locality")),
 		Tick: f.Span("stepNs"), MustAsk: f.Text("membershipMode") == "on_request", AskWithin: rules.Span("askWithinNs"),
-		LiveWeights: f.Text("weightKind") == "live", RoughWeights: f.Text("weightKind") == "rough",
-		TellsStart:  family.Flag("tellsStart"),
-		WorthByWork: f.Text("worthBy") == "work", FreeSlots: -1, FreeMemory: -1, Queue: -1,
+		RoughWeights: f.Text("weightKind") == "rough",
+		TellsStart:   family.Flag("tellsStart"),
+		WorthByWork:  f.Text("worthBy") == "work", FreeSlots: -1, FreeMemory: -1, Queue: -1,
 		MaxAttempts: int(limits.Whole("maxAttempts")), ConnectTimeout: limits.Span("connectTimeoutNs"),
 		CanCancel: limits.Flag("cancel"), CanProbe: limits.Flag("probes"),
 		SecondCopies: limits.Flag("secondCopies"), DrainGrace: rules.Span("drainGraceNs"),
