--- a/balance/balance.go
+++ b/balance/balance.go
@@ -497,8 +497,8 @@
 		return // what was sent before tells nothing new
 	}
 	pause := max(seconds(d.mean), d.tick)
-	if down {
-		pause = d.s.ConnectTimeout / 4
+	if down { // all dispatchers together probe it ten times a second at most
+		pause = max(d.s.ConnectTimeout/4, time.Duration(d.s.Dispatchers)*50*time.Millisecond)
 	}
 	w.fails, w.failedAt = min(w.recent(now)+1, 6), now
 	w.outTill, w.down = now+d.around(seconds(pause.Seconds()*math.Exp2(w.fails))), down && d.s.CanProbe
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -299,8 +299,8 @@
 			if r.Duplicates > 0 || int(r.Lists) > 3*starts || r.MostLists > 50 {
 				t.Errorf("%s, %d dispatchers: %d duplicates, %d calls at discovery, %d in a second", day, n, r.Duplicates, r.Lists, r.MostLists)
 			}
-			// Probes are counted where workers are down; a worker bears 4.7 for each core a second, connections by hundreds.
-			if r.MostConnects > 20 || r.MostProbes > 40 {
+			// A worker bears some ten probes a second in all, and connections by hundreds.
+			if r.MostConnects > 20 || r.MostProbes > 10 {
 				t.Errorf("%s, %d dispatchers: %d new connections and %d probes at a worker in a second", day, n, r.MostConnects, r.MostProbes)
 			}
 			if r.Breaches > 1 {
