Bound pauses and numbers at any fleet size; test lists of thousands

Seen by reading the change before: the pause of a worker that is out grew by the number of dispatchers times the failures, up to 256 s with 80; a repeated call at discovery had no upper bound, and an absurd number of dispatchers overflowed both. At fault: failed, List in balance.go and New in state.go.

Change: the dispatchers' part is a least pause beside the growing one, calls are repeated within twice AskWithin at most (a failed call allows four times that), the number of dispatchers is bounded. Tests of absurd numbers, of probes by fleet size, of a list of 6,000 entries with repeated ones and of a line past the bound.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,7 +42,7 @@
 func (d *Dispatcher) List(now time.Duration, form ListKind, entries []Worker) {
 	if form == ListFailed { // the list held so far holds on
 		// The service has been too busy for some 2 s: leave it as long, on average, or as all calls take.
-		d.ask(max(4*time.Second, time.Duration(d.s.Dispatchers)*100*time.Millisecond))
+		d.ask(max(4*time.Second, min(2*d.s.AskWithin, time.Duration(d.s.Dispatchers)*100*time.Millisecond)))
 		return
 	}
 	gone := func(w *worker) {
@@ -496,13 +496,13 @@
 	if now < w.outTill && !w.down {
 		return // what was sent before tells nothing new
 	}
-	pause := max(seconds(d.mean), d.tick)
+	pause, least := max(seconds(d.mean), d.tick), time.Duration(0)
 	if down { // all dispatchers together probe it ten times a second at most
-		pause = max(d.s.ConnectTimeout/4, time.Duration(d.s.Dispatchers)*50*time.Millisecond)
+		pause, least = d.s.ConnectTimeout/4, time.Duration(d.s.Dispatchers)*100*time.Millisecond
 	}
 	w.fails, w.failedAt = min(w.recent(now)+1, 6), now
-	w.outTill, w.down = now+d.around(seconds(pause.Seconds()*math.Exp2(w.fails))), down && d.s.CanProbe
-	if w.cut = down; down && w.State == Gone { // two witnesses
+	w.outTill = now + d.around(max(least, seconds(pause.Seconds()*math.Exp2(w.fails))))
+	if w.cut, w.down = down, down && d.s.CanProbe; down && w.State == Gone { // two witnesses
 		w.lostAt = now
 	}
 	if !w.sick {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -403,3 +404,45 @@
 		}
 	}
 }
+
+// TestAbsurdNumbers: no number of dispatchers, and none of this one, breaks a time or a turn; failed calls are made again.
+func TestAbsurdNumbers(t *testing.T) {
+	for _, n := range []int{math.MinInt, -1, 0, 1, 1 << 40, math.MaxInt} {
+		for _, number := range []int{math.MinInt, -1, 0, 5, math.MaxInt} {
+			s := settings()
+			s.FreeSlots, s.Dispatchers, s.Number, s.MustAsk, s.AskWithin = -1, n, number, true, 10*time.Second
+			h := newHost(t, s, fleet(1, 1, 1)...)
+			h.run(h.now + 10*time.Second)
+			h.d.List(h.now, ListFailed, nil)
+			asked := h.watches
+			h.run(h.now + 21*time.Second) // twice AskWithin at most
+			h.job(1, 0)
+			h.end(1, ConnectFailed)
+			h.end(1, OK)
+			if asked < 1 || h.watches <= asked || h.answered[1] != "served" {
+				t.Errorf("%d of %d: asked %d times, then %d, answer %q", number, n, asked, h.watches, h.answered[1])
+			}
+		}
+	}
+}
+
+// TestProbesByFleetSize: a worker that is out is probed by one dispatcher after 0.1 s for each there is, also where probes go on
+// failing. Before, each probed it every quarter of a second or so.
+func TestProbesByFleetSize(t *testing.T) {
+	for n, most := range map[int]int{1: 60, 80: 6} { // in 30 s
+		s := settings()
+		s.FreeSlots, s.Dispatchers = -1, n
+		h := newHost(t, s, fleet(1, 1)...)
+		h.job(1, 0)
+		h.end(1, ConnectFailed)
+		for till := h.now + 30*time.Second; h.now < till; {
+			before := len(h.probes)
+			if h.run(h.now + 50*ms); len(h.probes) > before {
+				h.d.Probed(h.now, h.probes[before], ConnectFailed, nil)
+			}
+		}
+		if got := len(h.probes); got > most || got < 2 {
+			t.Errorf("%d dispatchers: %d probes in 30 s", n, got)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -319,7 +319,8 @@
 		workers: map[WorkerID]*worker{}, kinds: map[int]*kind{}, periods: map[periodKey]*period{},
 		jobs: map[JobID]*request{}, offline: map[WorkerID]time.Duration{}}
 	d.s.Tick = max(s.Tick, time.Millisecond)
-	d.s.Dispatchers, d.s.MaxAttempts = max(s.Dispatchers, 1), max(s.MaxAttempts, 1)
+	// Times grow with the number of dispatchers: an absurd one must not overflow them.
+	d.s.Dispatchers, d.s.MaxAttempts = min(max(s.Dispatchers, 1), 1<<16), max(s.MaxAttempts, 1)
 	d.assume()
 	for i := range d.s.Classes {
 		c := &d.s.Classes[i]
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -292,3 +292,31 @@
 		t.Errorf("%+v, %v, want %+v", got, err, want)
 	}
 }
+
+// TestLargeList: thousands of entries are taken, repeated ones and all; a line past the bound changes nothing, costs no more
+// than the bound, and the watch is made anew from the version held.
+func TestLargeList(t *testing.T) {
+	within(t, func(s *service, c *Client) {
+		conn := s.accept()
+		entries := make([]string, 0, 6000)
+		for i := range 6000 {
+			entries = append(entries, strings.Replace(fmt.Sprintf(entry, "SERVING", 0), "s-5be2a07c", fmt.Sprint("s-", i/2), 1))
+		}
+		text := `{"revision":%d,"complete":true,"members":[` + strings.Join(entries, ",") + "]}\n"
+		chunk(conn, fmt.Sprintf(text, 43))
+		if len(s.lists) != 1 || strings.Count(s.lists[0], " s-") != 6000 {
+			t.Fatalf("%d lists", len(s.lists))
+		}
+		time.Sleep(lasting)
+		go func() {
+			for range maxLine/len(text) + 2 { // no end of line
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text)-1, text[:len(text)-1])
+			}
+		}()
+		s.accept()
+		if len(s.lists) != 1 || s.asked[1] != "/api/targets?follow=1&since=43" {
+			t.Errorf("%d lists, asked %q", len(s.lists), s.asked)
+		}
+		conn.Close()
+	})
+}
