Leave a crowded zone by as much as more jobs meet queues there than elsewhere

To blame: route in balance.go walks the own zone's period first and leaves it past k only; a dispatcher's own count at 1.4 jobs a second never passes k, and doubtful remembers single workers for 4 s, in which it meets six of 35.

Change: two figures, the share of recent attempts that met a queue in the own zone and in all others; three times their difference is the share of jobs that goes by the period of the other zones first. Room for it in policy: reports of load, which this deployment does not have, are taken as they are for the mean running time, in place of 30 lines of estimates of others' slots.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,9 +17,9 @@
 	threshold = 2  // k of the report: own jobs at a worker that tells nothing of its slots
 	turns     = 8  // turns in a period for each worker, on average; more only sharpens the proportions
 	reach     = 32 // workers looked at past the scheduled one: no job costs a walk over a large fleet
+	leaving   = 3  // times the difference in jobs that met queues is the share that leaves a zone
 
-	// After a job that met a queue the next one there meets one more often than elsewhere for some 4 s.
-	memory   = 4 * time.Second
+	memory   = 4 * time.Second  // so long jobs meet queues more often where one has met one
 	goneKept = 10 * time.Minute // workers that are listed no more are remembered so long where gone is advice
 )
 
@@ -150,7 +150,8 @@
 
 const ( // a job is offered to
 	nearPart   = iota // those of the own zone,
-	wholeFleet        // and all
+	wholeFleet        // all,
+	otherZones        // or those of all others
 )
 
 // period returns the ready workers of a class and their turns, in proportion to size and evenly spread.
@@ -162,7 +163,7 @@
 	p.made, p.members = d.lists, p.members[:0]
 	sum := 0.0
 	for _, w := range d.sorted {
-		if d.can(w, class) && (part == wholeFleet || w.Zone == d.s.Zone) {
+		if d.can(w, class) && (part == wholeFleet || (w.Zone == d.s.Zone) == (part == nearPart)) {
 			p.members = append(p.members, w)
 			sum += d.size(w)
 		}
@@ -223,33 +224,22 @@
 	return scheduled && w.turn != d.count && draw < c
 }
 
-// spare estimates the free slots of a worker.
+// spare estimates the free slots of a worker: what it takes, or lately reported, but for the own jobs there.
 func (d *Dispatcher) spare(now time.Duration, w *worker) float64 {
-	left := cmp.Or(w.Slots, w.kind.slots, w.kind.room) - w.own - d.others(now, w)
+	left := cmp.Or(w.Slots, w.kind.room) - w.own
+	if now < w.freeTill {
+		left = w.free - w.own
+	}
 	return left * (1 + 4*w.Slots) // known slots are no guess: no surer sign is wanted
 }
 
-// others estimates the slots that other dispatchers' jobs take. What was seen is drawn back to the worker's
-// mean as those jobs end, and in a minute to its kind's.
-func (d *Dispatcher) others(now time.Duration, w *worker) float64 {
-	age := (now - w.seenAt).Seconds()
-	usual := w.kind.usual + (w.usual-w.kind.usual)/(1+age/60)
-	return usual + (w.others-usual)/(1+age/d.mean)
-}
-
-// saw corrects the guess: a job was turned away or waits there (full), or started at once (room). So k is
-// learnt per kind: it falls to what ran side by side and grows with each start. A bad worker hurts its kind.
-func (d *Dispatcher) saw(now time.Duration, w *worker, full bool) {
-	if k := w.kind; k.slots == 0 && d.s.TellsStart { // nothing reported: learn k
-		held := w.own + d.others(now, w) - 1 // the job that waits is one more than run there
-		if full {
-			k.room += (min(k.room, max(1, held)) - k.room) * 0.1
-		} else if held+2 > k.room {
-			k.room = min(threshold+1, k.room+0.1)
-		}
-	}
-	if left := w.kind.slots - w.own; w.kind.slots > 0 && full == (left > d.others(now, w)) {
-		w.others, w.seenAt = max(0, left), now
+// saw corrects the guess of how many jobs a worker takes: one was turned away or waits (full), or began at
+// once. So k is learnt per kind: it falls to what ran side by side and grows with each start.
+func (d *Dispatcher) saw(w *worker, full bool) {
+	if k := w.kind; full && d.s.TellsStart {
+		k.room += (min(k.room, max(1, w.own-1)) - k.room) * 0.1 // the job that waits does not run
+	} else if w.own+1 > k.room {
+		k.room = min(threshold+1, k.room+0.1)
 	}
 }
 
@@ -291,11 +281,14 @@
 	if w := d.returned(now, r); w != nil {
 		return w
 	}
+	parts := [2]int{nearPart, wholeFleet}
+	if d.s.CrossZoneFee == 0 || len(r.tries) > 1 {
+		parts[0] = wholeFleet
+	} else if d.leaves(now) {
+		parts = [2]int{otherZones, nearPart}
+	}
 	for _, sure := range []bool{true, false} {
-		for part := nearPart; part <= wholeFleet; part++ {
-			if part == nearPart && (d.s.CrossZoneFee == 0 || len(r.tries) > 1) {
-				continue
-			}
+		for _, part := range parts {
 			if w := d.walk(now, r, part, far, want, sure); w != nil {
 				return w
 			}
@@ -304,6 +297,13 @@
 	return nil
 }
 
+// leaves: the own zone is a station past its k. The more jobs met queues here than elsewhere, the more leave.
+// The golden ratio spreads those over the job count evenly, whatever their share.
+func (d *Dispatcher) leaves(now time.Duration) bool {
+	_, at := math.Modf(float64(d.count) * math.Phi)
+	return d.thin && at < min(0.9, leaving*(d.queues[0].lost(now)-d.queues[1].lost(now)))
+}
+
 // walk looks for room from the scheduled worker of a period on, where sure without those that are doubtful.
 func (d *Dispatcher) walk(now time.Duration, r *request, part, far int, want float64, sure bool) *worker {
 	p := d.period(r.class, part)
@@ -311,7 +311,11 @@
 	if n == 0 {
 		return nil
 	}
-	at := p.turns[(d.count+d.s.Number*(n+turns)/d.s.Dispatchers)%n] // turns: out of step with the rounds
+	count := d.count
+	if part == otherZones {
+		count %= turns // a few workers, for new connections take long; other dispatchers have others
+	}
+	at := p.turns[(count+d.s.Number*(n+turns)/d.s.Dispatchers)%n] // turns: out of step with the rounds
 	for i := range min(far, len(p.members)) {
 		w := p.members[(at+i)%len(p.members)]
 		// More is lost on the way there than here: pass by, but for some trials; no worker is at fault.
@@ -346,7 +350,7 @@
 		r.tries[len(r.tries)-1].wrote = now
 	}
 	r.out++
-	d.take(now, w, r.need)
+	d.take(w, r.need)
 	d.do.Send(r.ID, w.ID, 0)
 	d.unhold(r)
 	d.wake(now, r)
@@ -414,7 +418,8 @@
 	if _, a := d.find(id, n); a != nil {
 		a.wait(false)
 		if a.started, a.began = true, now; a.wrote == 0 || now-a.wrote < d.patience {
-			d.saw(now, a.w, false)
+			d.saw(a.w, false)
+			d.met(now, a.w, false)
 			a.w.fullTill = 0
 		}
 	}
@@ -430,7 +435,7 @@
 	// Where workers shed what they had begun 'full' proves nothing: the job may have run.
 	a.out, a.clean = false, o.Status.NotRun() && !(d.s.LateShedding && o.Status == Full)
 	r.out--
-	d.take(now, w, -r.need)
+	d.take(w, -r.need)
 	d.report(now, w, o.Report)
 	d.turned *= 0.98
 	a.wait(false)
@@ -442,14 +447,15 @@
 			w.proven, d.trust = true, d.trust+(1-d.trust)*0.2
 		}
 		w.fails, w.failedAt, w.down = w.recent(now)/2, now, false
-		if w.kind.slots == 0 && !d.s.TellsStart { // else its start has told
-			d.saw(now, w, false)
-		}
 		d.learn(now, r, a)
 	case Full:
+		d.met(now, w, true)
 		d.turned += 0.02
-		d.saw(now, w, true)
+		d.saw(w, true)
 	case Errored, ConnectFailed, Reset:
+		if o.Status == ConnectFailed {
+			d.met(now, w, true)
+		}
 		d.failed(now, w, o.Status != Errored)
 	}
 	switch {
@@ -543,23 +549,11 @@
 	}
 }
 
-// report takes a worker's load report: what is not free and not own is taken by others.
+// report takes the free slots that a worker reports. They hold until about as many jobs have ended as run.
 func (d *Dispatcher) report(now time.Duration, w *worker, rep []float32) {
-	i, k := d.s.FreeSlots, w.kind
-	if i < 0 || i >= len(rep) || !(rep[i] >= 0 && rep[i] < 1e6) ||
-		rep[i] == w.last && (d.s.TellsStart && d.turned > 0.05 || (now-w.lastAt).Seconds() < d.mean) {
-		return // none, no number, or an old one; but where few are turned away a full worker says 0 for long
-	}
-	w.last, w.lastAt = rep[i], now
-	x := float64(rep[i])
-	k.slots = max(k.slots, float64(int(x/1.05+0.5))) // reports are noisy: not the very highest
-	if j := d.s.Queue; j >= 0 && j < len(rep) && rep[j] > 0 && rep[j] < 1e6 {
-		x -= float64(rep[j])
+	if i := d.s.FreeSlots; i >= 0 && i < len(rep) && rep[i] >= 0 && rep[i] < 1e6 {
+		w.free, w.freeTill = float64(rep[i])+w.own, now+seconds(d.mean)
 	}
-	others := max(0, k.slots-x-w.lag)
-	w.others = (others + d.others(now, w)) / 2
-	w.usual, w.seenAt = w.usual+(others-w.usual)*0.2, now
-	k.usual += (others - k.usual) * gain(&k.seen, 0.02)
 }
 
 // spent: no further attempt can be made, now or later.
@@ -646,8 +640,11 @@
 		// may run on all the same, and not where many are turned away: rooms are short there and it is next.
 		// Thin traffic learns of a queue only so: there a keyed job too, and all but the last attempt.
 		a := &r.tries[i]
+		if !a.waits {
+			d.met(now, a.w, true)
+		}
 		a.wait(true)
-		d.saw(now, a.w, true)
+		d.saw(a.w, true)
 		if d.thin {
 			a.w.fullTill = now + memory
 		}
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -18,6 +18,15 @@
 	}
 }
 
+// met notes whether a job met a queue, here or elsewhere.
+func (d *Dispatcher) met(now time.Duration, w *worker, queue bool) {
+	zone := &d.queues[0]
+	if w.Zone != d.s.Zone {
+		zone = &d.queues[1]
+	}
+	zone.saw(now, queue, 0.15, 1)
+}
+
 // waits notes whether an attempt waits at its worker though its start is due.
 func (a *attempt) wait(waits bool) {
 	if a.waits != waits {
@@ -49,7 +58,6 @@
 // newWorker makes a record of a worker that is new or whose process restarted.
 func (d *Dispatcher) newWorker(e Worker) *worker {
 	w := &worker{kind: d.kindOf(e.Kind), slow: 1, turn: -1}
-	w.usual, w.others = w.kind.usual, w.kind.usual
 	w.proven = d.lists == 0 || e.Pulls // one that asks is there
 	if old := d.workers[e.ID]; old != nil {
 		w.proven = old.proven
@@ -60,12 +68,8 @@
 	return w
 }
 
-// take moves the slots that own attempts hold at a worker, and lag behind them, by the age of a report.
-func (d *Dispatcher) take(now time.Duration, w *worker, n float64) {
-	dt := (now - w.lagAt).Seconds()
-	w.lag += (w.own - w.lag) * dt / (dt + 0.25)
-	w.own, w.lagAt = max(0, w.own+n), now
-}
+// take moves the slots that own attempts hold at a worker.
+func (d *Dispatcher) take(w *worker, n float64) { w.own = max(0, w.own+n) }
 
 // close marks a job that has its final answer and withdraws what is still out.
 func (d *Dispatcher) close(r *request) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -14,13 +14,8 @@
 	kind     *kind
 	nominal  float64       // size, as listed
 	own      float64       // slots taken by own attempts that are out
-	lag      float64       // own, smoothed to the age of a report
-	lagAt    time.Duration // when lag was last moved
-	others   float64       // slots taken by other dispatchers' jobs, as last seen
-	seenAt   time.Duration // when that was
-	usual    float64       // and their mean
-	last     float32       // last report of free slots
-	lastAt   time.Duration // when that came
+	free     float64       // slots, as last reported, and those that own attempts held then
+	freeTill time.Duration // until when that holds
 	slow     float64       // pace when it was last learnt
 	slowAt   time.Duration // when that was
 	down     bool          // no connection: out until a probe succeeds
@@ -42,10 +37,7 @@
 
 // kind is what this dispatcher knows of the workers of one kind.
 type kind struct {
-	slots  float64 // of a worker: the most ever seen free or taken; 0 while unknown
 	room   float64 // of a worker: jobs that it takes, where it tells nothing of its slots
-	usual  float64 // mean slots taken by other dispatchers' jobs
-	seen   int     // reports in that mean
 	slow   float64 // running time over the mean of its class
 	built  float64 // slow, in the periods as they are
 	served int     // jobs in that
@@ -102,7 +94,7 @@
 	known   []*worker // the same, by id
 	sorted  []*worker // all known workers that are listed ready, by id
 	ways    [256]way  // by zone
-	part    []*worker // those of the group
+	queues  [2]way    // of the own zone and of all others: attempts that met a queue
 	lists   int       // changes of the list so far
 	kinds   map[int]*kind
 	periods map[periodKey]*period
