--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	threshold = 2  // k of the report: own jobs at a worker that tells nothing of its slots
-	turns     = 8  // turns in a period for each worker, on average; more only sharpens the proportions
-	reach     = 32 // workers looked at past the scheduled one: no job costs a walk over a large fleet
-	leaving   = 3  // times the difference in jobs that met queues is the share that leaves a zone
+	threshold = 2   // k of the report: own jobs at a worker that tells nothing of its slots
+	turns     = 8   // turns in a period for each worker, on average; more only sharpens the proportions
+	reach     = 32  // workers looked at past the scheduled one: no job costs a walk over a large fleet
+	leaving   = 3   // times the difference in jobs that met queues is the share that leaves a zone,
+	crossing  = 0.1 // but for what a crossing takes: some 60 ms of the 0.5 s that a queue costs on average
 
 	memory   = 4 * time.Second  // so long jobs meet queues more often where one has met one
 	goneKept = 10 * time.Minute // workers that are listed no more are remembered so long where gone is advice
@@ -301,7 +302,7 @@
 // The golden ratio spreads those over the job count evenly, whatever their share.
 func (d *Dispatcher) leaves(now time.Duration) bool {
 	_, at := math.Modf(float64(d.count) * math.Phi)
-	return d.thin && at < min(0.9, leaving*(d.queues[0].lost(now)-d.queues[1].lost(now)))
+	return d.thin && at < min(0.9, leaving*(d.queues[0].lost(now)-d.queues[1].lost(now)-crossing))
 }
 
 // walk looks for room from the scheduled worker of a period on, where sure without those that are doubtful.
@@ -327,7 +328,7 @@
 		turn := i == 0 && len(r.tries) == 0 &&
 			(part == nearPart || d.s.CrossZoneFee == 0 || w.Zone != d.s.Zone)
 		if d.usable(now, r, w, turn) && d.spare(now, w) >= want &&
-			(r.late || now+d.runs(now, r, w) <= r.aim) {
+			(d.thin || r.late || now+d.runs(now, r, w) <= r.aim) {
 			return w
 		}
 	}
@@ -441,6 +442,9 @@
 	a.wait(false)
 	d.ways[w.Zone&255].saw(now, o.Status == TimedOut || o.Status == ConnectFailed, 0.05, 0.1)
 	w.errs.saw(now, o.Status == TimedOut || o.Status == Errored || o.Status == Reset, 0.2, 1)
+	if o.Status == Full || o.Status == ConnectFailed {
+		d.met(now, w, true)
+	}
 	switch o.Status {
 	case OK:
 		if !w.proven {
@@ -449,13 +453,9 @@
 		w.fails, w.failedAt, w.down = w.recent(now)/2, now, false
 		d.learn(now, r, a)
 	case Full:
-		d.met(now, w, true)
 		d.turned += 0.02
 		d.saw(w, true)
 	case Errored, ConnectFailed, Reset:
-		if o.Status == ConnectFailed {
-			d.met(now, w, true)
-		}
 		d.failed(now, w, o.Status != Errored)
 	}
 	switch {
