--- a/balance/balance.go
+++ b/balance/balance.go
@@ -190,10 +190,9 @@
 // traffic meets queues unseen, and those of slow workers last longer at equal load: they get fewer turns.
 func (d *Dispatcher) size(w *worker) float64 { return math.Pow(w.nominal/w.kind.built, d.bias) }
 
-// runs is the expected running time of a job. Of a cold worker thin traffic hopes for more than the least.
+// runs is the expected running time of a job.
 func (d *Dispatcher) runs(now time.Duration, r *request, w *worker) time.Duration {
-	able := d.hope + (1-d.hope)*d.warmth(now, w)
-	return seconds(d.unit[r.class] * r.size * pace(now, w) / able)
+	return seconds(d.unit[r.class] * r.size * pace(now, w) / d.warmth(now, w))
 }
 
 // warmth is the share of its capacity that a worker surely has, by the slowest ramp that the settings allow.
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -119,6 +119,6 @@
 		share /= max(d.s.Zones, 1)
 	}
 	if d.bias = 1; share > 2*(threshold+1) { // under half a job each of all that a worker takes
-		d.thin, d.bias, d.hope = true, 2, 0.5
+		d.thin, d.bias = true, 2
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -109,7 +109,6 @@
 	first   []time.Duration    // by class: the longest patience seen, that of a first try
 	thin    bool               // own jobs are so small a part of all that they don't tell how full a worker is
 	bias    float64            // sizes count to this power
-	hope    float64            // how far from the slowest ramp to full a cold worker is expected
 	placed  float64            // share of recent jobs that found room as they came
 	trust   float64            // in workers that have joined the list and not served yet
 	turned  float64            // share of recent attempts that were turned away
