Keep a watch of the agent where lists are pushed: drains were never heard there

To blame: Start in balance.go asks only where MustAsk holds, config/settings.go sets that only for on_request, and inventory.Run opens a watch only when asked.

Change: where lists are pushed the inventory's watch stands from the start and is made anew after a short pause whatever ends it; answers are awaited for 0.5 s, as no call of an agent waits in turn. The module hears of no failed call. Within one watch a list that goes back in revision is left aside and logged once.

TestPushed fails without it.

--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -141,6 +141,7 @@
 		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
+	list.Pushed = !c.Settings.MustAsk
 	list.Spread = min(time.Duration(c.Settings.Dispatchers)*remakeFor, longestRemake)
 	module := c.Settings
 	module.Classes = own.table.Classes()
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -37,6 +37,9 @@
 	moveWithin  = 1200 * time.Millisecond
 	firstPause  = 100 * time.Millisecond
 	longerPause = 2 * time.Second
+
+	// An agent is on the own machine: to call it costs nobody else anything, and what it has counts as told at once.
+	agentWithin = 500 * time.Millisecond
 )
 
 // Sink takes the lists.
@@ -52,12 +55,14 @@
 	Dial         func(ctx context.Context, address string) (net.Conn, error)
 	Spread       time.Duration  // a watch that broke is made anew within it
 	Draw         func() float64 // from 0 to 1
+	Pushed       bool           // lists are pushed, to an agent: a watch of it stands whether the module asks or not
 
 	asked    chan struct{}
 	moved    chan string
 	address  string
 	since    int64 // the version of the list held
 	badLines atomic.Int64
+	back     bool // a list that went back in revision has been logged
 	told     atomic.Pointer[place] // address and since, for other goroutines
 
 	standing *watch // the one that is followed
@@ -141,6 +146,9 @@
 	c.retry = time.NewTimer(0)
 	<-c.retry.C
 	defer c.retry.Stop()
+	if c.Pushed {
+		c.Watch()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -149,7 +157,7 @@
 			if !c.moving { // else the new address is being tried already
 				c.retry.Stop()
 				c.end(c.standing)
-				c.standing = c.start(ctx, answerWithin)
+				c.standing = c.start(ctx, c.patience())
 			}
 		case address := <-c.moved:
 			if address != c.address {
@@ -200,11 +208,15 @@
 	switch {
 	case e.list == nil:
 		return
-	case e.list.Complete:
+	case e.list.Complete && (first || e.list.Revision >= c.since): // only a service that began anew may know less
 		c.Sink.List(balance.ListFull, e.list.Hosts)
 	case e.list.Revision < c.since:
 		// The watch that stood before had told more than the service at the new address knows yet: to take its older word
 		// would bring back hosts that drain.
+		if !c.back {
+			c.back = true
+			c.Log.Warn("list goes back, left aside", "revision", e.list.Revision, "held", c.since)
+		}
 		return
 	case len(e.list.Hosts) > 0 || first:
 		c.Sink.List(balance.ListChanges, e.list.Hosts)
@@ -229,9 +241,9 @@
 	case w.worked && time.Since(w.began) >= lasting:
 		// While it was silent changes may have been missed that count as told some seconds later: little time to lose.
 		c.pause = firstPause
-		c.standing, c.within = nil, answerWithin
+		c.standing, c.within = nil, c.patience()
 		c.retry.Reset(time.Duration(c.Draw() * float64(c.Spread)))
-	case errors.Is(e.err, errBroken):
+	case c.Pushed, errors.Is(e.err, errBroken):
 		// Discovery is there, but its lists break off. To leave the next try to the module, which takes a failed call for a
 		// busy service and waits for seconds, let hosts that drained in the meantime get messages.
 		c.standing = nil
@@ -242,11 +254,22 @@
 	}
 }
 
-// again asks for a try after a pause, which grows and is drawn from around its length.
+// again asks for a try after a pause, which grows and is drawn from around its length. An agent that takes a call and says
+// nothing is called again soon: no call of it waits for others'.
 func (c *Client) again() {
-	c.within = moveWithin
+	c.within = min(moveWithin, c.patience())
 	c.retry.Reset(time.Duration(float64(c.pause) * (0.75 + c.Draw()/2)))
-	c.pause = min(2*c.pause, longerPause)
+	if c.pause = min(2*c.pause, longerPause); c.Pushed {
+		c.pause = min(c.pause, agentWithin)
+	}
+}
+
+// patience is how long an answer may take.
+func (c *Client) patience() time.Duration {
+	if c.Pushed {
+		return agentWithin
+	}
+	return answerWithin
 }
 
 // start begins a watch at the present address from the version held.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -72,14 +72,22 @@
 }
 
 func within(t *testing.T, test func(*service, *Client)) {
+	t.Helper()
+	watched(t, false, test)
+}
+
+// watched plays a Client whose watch the module asks for, or one of an agent that nobody asks for.
+func watched(t *testing.T, pushed bool, test func(*service, *Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &service{t: t, calls: make(chan net.Conn, 8)}
 		c := New("discovery:1", 41, []string{"a", "b"}, []string{"m1", "m2"}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		c.Draw = func() float64 { return 0.5 }
-		c.Sink, c.Dial = s, s.dial
+		c.Sink, c.Dial, c.Pushed = s, s.dial, pushed
 		ctx, stop := context.WithCancel(t.Context())
 		go c.Run(ctx)
-		c.Watch()
+		if !pushed {
+			c.Watch()
+		}
 		test(s, c)
 		stop()
 		synctest.Wait()
@@ -184,6 +192,43 @@
 	})
 }
 
+// TestPushed guards against lists that are pushed to an agent and that nobody fetches there: no drain was ever heard. A watch
+// stands though the module never asks, is made anew whatever ends it, and an agent that takes a call and says nothing,
+// repeats itself or goes back in revision does no harm.
+func TestPushed(t *testing.T) {
+	watched(t, true, func(s *service, c *Client) {
+		conn := s.accept()
+		chunk(conn, line(43, true, "SERVING"))
+		chunk(conn, line(44, false, "DRAINING"))
+		chunk(conn, line(44, false, "DRAINING")) // told twice
+		chunk(conn, line(42, false, "SERVING"))  // goes back
+		chunk(conn, line(42, true, "SERVING"))
+		if want := "kind 1 s-5be2a07c state 1 zone 1 kind 1 up 1s"; len(s.lists) != 3 || s.lists[1] != want || s.lists[2] != want {
+			t.Fatalf("lists %q", s.lists)
+		}
+		began := time.Now()
+		s.down.Store(true)
+		time.Sleep(silence) // discovery is down: the agent says nothing, then nobody is there
+		s.down.Store(false)
+		for range 8 {
+			defer (<-s.calls).Close() // takes the call and says nothing
+		}
+		conn = s.accept()
+		if took := time.Since(began); took > silence+10*2*agentWithin || s.asked[1] != "/api/targets?follow=1&since=44" {
+			t.Errorf("stands again after %v, asked %q", took, s.asked)
+		}
+		chunk(conn, line(45, false, "DELETED"))
+		for _, l := range s.lists {
+			if strings.HasPrefix(l, fmt.Sprint("kind ", balance.ListFailed)) {
+				t.Errorf("lists %q: the module cannot ask an agent", s.lists)
+			}
+		}
+		if len(s.lists) != 4 {
+			t.Errorf("lists %q", s.lists)
+		}
+	})
+}
+
 // TestRefusedCall: a call that fails is told, and not made again before the module asks.
 func TestRefusedCall(t *testing.T) {
 	within(t, func(s *service, c *Client) {
