--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -62,7 +62,7 @@
 	address  string
 	since    int64 // the version of the list held
 	badLines atomic.Int64
-	back     bool // a list that went back in revision has been logged
+	back     bool                  // a list that went back in revision has been logged
 	told     atomic.Pointer[place] // address and since, for other goroutines
 
 	standing *watch // the one that is followed
