--- a/sim/policies.go
+++ b/sim/policies.go
@@ -195,6 +195,7 @@
 
 func (p *plain) Written(time.Duration, balance.JobID, int, bool)                   {}
 func (p *plain) Started(time.Duration, balance.JobID, int)                         {}
+func (p *plain) Progress(time.Duration, balance.JobID, int, float64)               {}
 func (p *plain) Probed(time.Duration, balance.WorkerID, balance.Status, []float32) {}
 func (p *plain) Timer(time.Duration, uint64)                                       {}
 func (p *plain) Left(time.Duration, balance.JobID)                                 {}
--- /dev/null
+++ b/sim/site/day.go
@@ -0,0 +1,436 @@
+package site
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"liftgauge/sim"
+)
+
+// FleetDays are days of many dispatchers: a deployment of the site's kind, but of any size.
+var FleetDays = []string{"calm", "roll", "herd", "zone", "split", "join"}
+
+// OwnDays are the site's own, at the size that it has.
+//
+//   - quiet: nothing fails;
+//   - trouble: one of the site's troubles;
+//   - overload: the same, while more is asked for than all boxes can do;
+//   - big: the same at the size of the busiest days.
+var OwnDays = []string{"quiet", "trouble", "overload", "big"}
+
+// fleetDay is the length of a day of many dispatchers.
+const fleetDay = 25 * time.Second
+
+// The most dispatchers and boxes that Day makes a day of.
+const (
+	MostDispatchers = 1000
+	MostBoxes       = 1000
+)
+
+// Day draws a day. With no dispatchers or boxes given, one of the site's OwnDays is as large as the site's ranges say.
+//
+// FleetDays are:
+//
+//   - calm: nothing fails; traffic shifts between zones, and half as much again comes for some seconds;
+//   - roll: half of the boxes are replaced in steps, all dispatchers are restarted as planned, a tenth at a time, and
+//     discovery moves;
+//   - herd: boxes are released in batches, and in the midst of it seven in ten dispatchers are killed at once, and are back
+//     after a second; discovery is short of room; one box in eight is bad;
+//   - zone: the boxes of a zone vanish for 5 s and return cold, another zone is cut off; one box in eight is bad;
+//   - split: a zone is cut off for 6 s, or a fifth of the boxes is silent; lists come late, answers are lost and connections
+//     reset under requests;
+//   - join: six in ten boxes are replaced within 7 s; some clients give up early or come again often.
+//
+// On these one of the site's troubles comes as well: on calm days one that is no fault.
+func (s *Site) Day(day string, dispatchers, boxes int, seed uint64) (*sim.World, error) {
+	own := slices.Contains(OwnDays, day)
+	rng := sim.Stream(seed, "fleet-site")
+	span := func(r Range) time.Duration { return time.Duration(r.draw(rng) * 1e9) }
+	length := fleetDay
+	if own {
+		sizes := [2]Range{s.Dispatchers, s.Boxes}
+		if day == "big" {
+			sizes = [2]Range{s.BigDispatchers, s.BigBoxes}
+		}
+		if n := sizes[0].whole(rng); dispatchers == 0 {
+			dispatchers = n
+		}
+		if n := sizes[1].whole(rng); boxes == 0 {
+			boxes = n
+		}
+		length = span(s.Length)
+	}
+	if dispatchers < 1 || dispatchers > MostDispatchers || boxes < s.Zones || boxes > MostBoxes {
+		return nil, fmt.Errorf("want 1 to %d dispatchers and %d to %d workers, not %d and %d", MostDispatchers, s.Zones, MostBoxes, dispatchers, boxes)
+	}
+	asked, discovery := !s.Discovery.Pushed, &s.Discovery
+	calls := 0.0
+	if asked { // that discovery deals with in a second
+		calls = max(discovery.Calls.draw(rng), float64(dispatchers)/3)
+	}
+	w := &sim.World{
+		Stations: s.Zones, Jitter: s.Network.Jitter.draw(rng), Lag: span(discovery.Lag), SilentLag: span(discovery.Silent), Pushed: !asked,
+		Connect: seconds(s.Network.Connect), Attempts: s.Rules.Attempts, Window: 5 * time.Second, End: length + 10*time.Second, ByWork: true,
+		Handshake: s.Network.Handshake.whole(rng), Untold: !s.TellsStart, Progress: seconds(s.Progress), Goal: s.goal(),
+		Rules: sim.Rules{DrainGrace: seconds(s.Rules.DrainGrace), StartCapacity: s.Rules.StartCapacity, WarmWithin: seconds(s.Rules.WarmWithin),
+			OverloadFactor: s.Rules.OverloadFactor, FallTime: seconds(s.Rules.FallTime), RestartAfter: seconds(s.Rules.RestartAfter)},
+	}
+	if own {
+		w.Window, w.End = 10*time.Second, length+30*time.Second
+	}
+	if asked {
+		w.ListWithin = time.Second
+		if day == "herd" {
+			calls /= 3
+		}
+		w.ListTime = time.Duration(1e9 / calls)
+	}
+	w.Settings.Tick, w.Settings.AskWithin = seconds(s.Tick), seconds(discovery.AskWithin)
+	w.Settings.WorthByWork, w.Settings.SecondCopies, w.Settings.MaxRetryAfter = true, true, seconds(s.Retry.AdviceMost)
+	w.Settings.CrossZoneFee, w.Settings.ProbeFee, w.Settings.HandshakeFee = s.Goal.Cross, s.Goal.Probe, s.Goal.Connection
+	w.Settings.WasteFee, w.Settings.LateFee = s.Goal.Waste, s.Goal.Late
+	errors := make([]Range, len(s.Kinds))
+	runsOn := s.RunsOn && rng.IntN(2) == 0
+	for i, k := range s.Kinds {
+		errors[i] = k.Errors
+		w.Kinds = append(w.Kinds, sim.Kind{Name: k.Name, Cores: k.Cores, Slots: k.Slots, Queue: int(float64(k.Cores) * k.Queue.draw(rng)), Speed: k.Speed.draw(rng),
+			Spread: k.Spread.draw(rng), Connections: k.Connections, ColdFrom: k.ColdFrom.draw(rng), ColdFor: span(k.ColdFor),
+			StallEvery: span(k.StallEvery), StallFor: span(k.StallFor), RunsOn: runsOn})
+	}
+	for _, c := range s.Classes {
+		w.Classes = append(w.Classes, sim.Class{Name: c.Name, Work: sim.Dist{Mean: c.Work.draw(rng), Shape: c.shape(), Spread: c.Spread.draw(rng)},
+			HintSpread: c.HintSpread, AttemptSpread: c.Attempts.draw(rng), Class: c.plain()})
+	}
+	w.Retry = sim.Retry{Most: s.Retry.Most.whole(rng), Pause: span(s.Retry.Pause), Advice: s.Retry.Advice, Marks: s.Retry.Marks}
+	if len(s.Report.Fields) > 0 {
+		w.Report = &sim.Report{Fields: s.Report.Fields, Every: span(s.Report.Every), Delay: span(s.Report.Delay), Noise: s.Report.Noise.draw(rng)}
+	}
+	local, cross := span(s.Network.Local), span(s.Network.Crossing)
+	for i := range s.Zones {
+		w.OneWay = append(w.OneWay, make([]time.Duration, s.Zones))
+		for j := range s.Zones {
+			if w.OneWay[i][j] = cross; i == j {
+				w.OneWay[i][j] = local
+			}
+		}
+	}
+	// shares spreads what there is over the zones, with a skew.
+	shares := func(skew float64) []float64 {
+		all, sum := make([]float64, s.Zones), 0.0
+		for z := range all {
+			all[z] = 1 + skew*(2*rng.Float64()-1)
+			sum += all[z]
+		}
+		for z := range all {
+			all[z] /= sum
+		}
+		return all
+	}
+	kinds := cumulated(rng, len(s.Kinds), func(i int) Range { return s.Kinds[i].Share })
+	cell := s.Cell.whole(rng)
+	speed, zone := 0.0, spread(shares(s.BoxSkew.draw(rng)), boxes)
+	for i := range boxes {
+		b := sim.Box{Name: fmt.Sprint("w", i), Station: zone[i], Kind: pick(kinds, math.Mod(float64(i)*math.Phi, 1))}
+		n := 0 // boxes of the zone so far
+		for _, other := range w.Boxes {
+			if other.Station == b.Station {
+				n++
+			}
+		}
+		b.Cell, b.Errs = b.Station*MostBoxes+n/cell, errors[b.Kind].draw(rng)
+		w.Boxes = append(w.Boxes, b)
+		speed += w.Kinds[b.Kind].Speed * float64(w.Kinds[b.Kind].Cores)
+	}
+	skew := s.ZoneSkew.draw(rng)
+	traffic := shares(skew)
+	w.Dispatchers = spread(traffic, dispatchers)
+	cv := s.StreamCV.draw(rng)
+	for range dispatchers {
+		w.Shares = append(w.Shares, sim.Dist{Mean: 1, Shape: sim.Lognormal, Spread: cv}.Draw(rng))
+	}
+	l := load{length: length, Work: s.Load[cmpOr(own, day, "fleet")].draw(rng) * speed, From: traffic, Slow: 1}
+	l.Classes = cumulated(rng, len(s.Classes), func(i int) Range { return s.Classes[i].Share })
+	if l.To = traffic; !own {
+		l.To, l.Shift = shares(skew), span(Range{9, 13})
+	}
+	if day != "quiet" {
+		s.trouble(w, rng, &l, day == "calm")
+	}
+	l.Leaves = s.Leaves.draw(rng)
+	if day == "calm" {
+		l.Burst, l.BurstAt, l.BurstFor = 1.5, span(Range{6, 9}), span(Range{5, 8})
+	}
+	if day == "join" {
+		l.Early = 0.1
+	}
+	s.tenants(w, rng, &l, speed)
+	s.arrivals(w, sim.Stream(seed, "fleet-arrivals"), l)
+	if !own {
+		if err := happen(w, day, sim.Stream(seed, "fleet-faults")); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func cmpOr(first bool, a, b string) string {
+	if first {
+		return a
+	}
+	return b
+}
+
+// cumulated draws the shares of n parts, of which the last is what the others leave, and adds them up.
+func cumulated(rng *rand.Rand, n int, share func(int) Range) []float64 {
+	all, sum := make([]float64, n), 0.0
+	for i := range n - 1 {
+		sum += share(i).draw(rng)
+		all[i] = sum
+	}
+	if n > 0 {
+		all[n-1] = math.Inf(1)
+	}
+	return all
+}
+
+// pick is the part in which x is.
+func pick(cumulated []float64, x float64) int {
+	return slices.IndexFunc(cumulated, func(most float64) bool { return x <= most })
+}
+
+// tenants draws what each asks for. Their shares are of what all boxes can do.
+func (s *Site) tenants(w *sim.World, rng *rand.Rand, l *load, speed float64) {
+	if len(s.Tenants) == 0 {
+		return
+	}
+	quota, sum := s.Quota.draw(rng), 0.0
+	for _, t := range s.Tenants {
+		w.Tenants = append(w.Tenants, sim.Tenant{Name: t.Name, Share: t.Share, Quota: t.Share * quota * speed})
+		sum += t.Share * t.Usage.draw(rng)
+		l.Tenants = append(l.Tenants, sum)
+	}
+	for i := range l.Tenants {
+		l.Tenants[i] /= sum
+	}
+	l.Tenants[len(l.Tenants)-1] = math.Inf(1)
+}
+
+// spread deals n places out over the zones by their shares, evenly mixed.
+func spread(shares []float64, n int) []int {
+	owed, out := make([]float64, len(shares)), make([]int, n)
+	for i := range out {
+		best := 0
+		for z := range shares {
+			if owed[z] += shares[z]; owed[z] > owed[best] {
+				best = z
+			}
+		}
+		owed[best]--
+		out[i] = best
+	}
+	return out
+}
+
+// trouble adds one of the site's own troubles; on a calm day one that is no fault.
+func (s *Site) trouble(w *sim.World, rng *rand.Rand, l *load, calm bool) {
+	span := func(r Range) time.Duration { return time.Duration(r.draw(rng) * 1e9) }
+	var all []Trouble
+	for _, t := range s.Troubles {
+		if !calm || t.Effect == "burst" || t.Effect == "heavy" {
+			all = append(all, t)
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	early := Range{3, 14}
+	// struck draws a share of n.
+	struck := func(n int, part Range) []int {
+		order := rng.Perm(n)
+		return order[:int(part.draw(rng)*float64(n))]
+	}
+	add := func(at time.Duration, e sim.Effect, target int, factor float64, d time.Duration) {
+		w.Faults = append(w.Faults, sim.Fault{At: at, Effect: e, Target: target, For: d, Factor: factor})
+	}
+	switch t := all[rng.IntN(len(all))]; t.Effect {
+	case "burst":
+		l.Burst, l.BurstAt, l.BurstFor = t.Size.draw(rng), span(early), span(t.Len)
+	case "heavy":
+		l.Heavy, l.Slow = t.Part.draw(rng), t.Size.draw(rng)
+	case "dispatchers":
+		for _, n := range struck(len(w.Dispatchers), t.Part) {
+			add(15*time.Second, sim.Dispatcher, n, 0, span(t.Len))
+		}
+	case "slow":
+		at, factor := span(early), 1/t.Size.draw(rng)
+		add(at, sim.BoxesSlow, 0, factor, span(t.Len))
+	case "crash", "hang":
+		at, d, effect := span(early), span(t.Len), sim.BoxDies
+		if t.Effect == "hang" {
+			effect = sim.BoxStalls
+		}
+		for _, n := range struck(len(w.Boxes), t.Part) {
+			add(at, effect, n, 0, d)
+		}
+	case "pauses":
+		at, d, size, every := span(early), span(t.Len), span(t.Size), span(t.Every)
+		for _, n := range struck(len(w.Boxes), t.Part) {
+			for from := time.Duration(rng.Float64() * float64(every)); from < d; from += every {
+				add(at+from, sim.BoxStalls, n, 0, size)
+			}
+		}
+	}
+}
+
+// happen adds what a fleet's day is named for.
+func happen(w *sim.World, day string, rng *rand.Rand) error {
+	boxes, zones := len(w.Boxes), w.Stations
+	order := rng.Perm(boxes)
+	bad := func(all []int) { // one in eight, of these
+		for i, n := range all[:min(max(1, boxes/8), len(all))] {
+			if b := &w.Boxes[n]; i%2 == 0 {
+				b.Speed = w.Kinds[b.Kind].Speed / 3
+			} else {
+				b.Errs = 0.3
+			}
+		}
+	}
+	// replace drains so many boxes from a time on; others take their places.
+	replace := func(some []int, from, within time.Duration) {
+		for i, n := range some {
+			at := from + time.Duration(i)*within/time.Duration(len(some))
+			w.Faults = append(w.Faults, sim.Fault{At: at, Effect: sim.BoxDrains, Target: n})
+			fresh := w.Boxes[n]
+			fresh.Name, fresh.Joins = fresh.Name+"-new", at+2*time.Second
+			w.Boxes = append(w.Boxes, fresh)
+		}
+	}
+	release := func() { // in batches, each comes back
+		for i := range boxes / 2 {
+			at := 6*time.Second + time.Duration(i*10/max(boxes/2, 1))*1200*time.Millisecond
+			w.Faults = append(w.Faults, sim.Fault{At: at, Effect: sim.BoxDrains, Target: order[i], For: time.Second})
+		}
+	}
+	switch day {
+	case "calm":
+	case "roll":
+		replace(order[:boxes/2], 4*time.Second, 14*time.Second)
+		for i, n := range rng.Perm(len(w.Dispatchers)) {
+			at := 3*time.Second + time.Duration(i*10/len(w.Dispatchers))*1800*time.Millisecond
+			w.Faults = append(w.Faults, sim.Fault{At: at, Effect: sim.DispatcherEnds, Target: n, For: time.Second})
+		}
+		w.Faults = append(w.Faults, sim.Fault{At: 10 * time.Second, Effect: sim.ListMoves})
+	case "herd":
+		bad(order[boxes/2:])
+		release()
+		for _, n := range rng.Perm(len(w.Dispatchers))[:(7*len(w.Dispatchers)+9)/10] {
+			w.Faults = append(w.Faults, sim.Fault{At: 11 * time.Second, Effect: sim.Dispatcher, Target: n, For: time.Second})
+		}
+	case "zone":
+		bad(order)
+		lost := rng.IntN(zones)
+		w.Faults = append(w.Faults, sim.Fault{At: 7 * time.Second, Effect: sim.StationBoxes, Target: lost, For: 5 * time.Second},
+			sim.Fault{At: 14 * time.Second, Effect: sim.StationLinks, Target: (lost + 1 + rng.IntN(zones-1)) % zones, For: 4 * time.Second})
+	case "split":
+		if rng.IntN(2) == 0 {
+			w.Faults = append(w.Faults, sim.Fault{At: 8 * time.Second, Effect: sim.StationLinks, Target: rng.IntN(zones), For: 6 * time.Second})
+		} else {
+			for _, n := range order[:boxes/5] {
+				w.Faults = append(w.Faults, sim.Fault{At: 8 * time.Second, Effect: sim.BoxSilent, Target: n, For: 6 * time.Second})
+			}
+		}
+		w.Faults = append(w.Faults, sim.Fault{At: 8 * time.Second, Effect: sim.ListsLate, Factor: 4, For: 6 * time.Second},
+			sim.Fault{At: 8 * time.Second, Effect: sim.Resets, Factor: 0.02, For: 6 * time.Second},
+			sim.Fault{At: 8 * time.Second, Effect: sim.AnswersLost, Factor: 0.02, For: 6 * time.Second})
+	case "join":
+		replace(order[:6*boxes/10], 6*time.Second, 5*time.Second)
+	default:
+		return fmt.Errorf("day %q: want one of %v or %v", day, FleetDays, OwnDays)
+	}
+	return nil
+}
+
+// load is what the clients of a day ask for.
+type load struct {
+	length   time.Duration
+	Work     float64   // seconds at speed 1 asked for in a second
+	Classes  []float64 // shares of the jobs, added up
+	Tenants  []float64 // the same; none: nobody shares
+	From, To []float64
+	Shift    time.Duration // when a zone's share of the jobs has gone half the way From To; it takes 4 s
+	// Burst times as many jobs come from BurstAt on for BurstFor.
+	Burst             float64
+	BurstAt, BurstFor time.Duration
+	Heavy, Slow       float64 // this share of the last class takes Slow times as long
+	Early             float64 // share of the clients that wait a second only
+	Leaves            float64 // share that leave at some moment before their time is up
+}
+
+// quotaFor is how long a tenant may ask for more than its share before that counts as beyond.
+const quotaFor = 2 * time.Second
+
+// arrivals fills the day.
+func (s *Site) arrivals(w *sim.World, rng *rand.Rand, l load) {
+	mean, before := 0.0, 0.0
+	for i, c := range w.Classes {
+		share := min(l.Classes[i], 1) - before
+		mean += share * c.Work.Mean
+		before += share
+	}
+	spent, at := make([]float64, len(w.Tenants)), 0.0
+	for {
+		rate := l.Work / mean
+		now := time.Duration(at * 1e9)
+		if l.Burst > 0 && now >= l.BurstAt && now < l.BurstAt+l.BurstFor {
+			rate *= l.Burst
+		}
+		gap := rng.ExpFloat64() / rate
+		if at += gap; at >= l.length.Seconds() {
+			return
+		}
+		a := sim.Arrival{At: time.Duration(at * 1e9)}
+		gone := min(1, max(0, (a.At-l.Shift).Seconds()/4+0.5))
+		for x := rng.Float64(); a.Station < w.Stations-1; a.Station++ {
+			if x -= l.From[a.Station] + (l.To[a.Station]-l.From[a.Station])*gone; x < 0 {
+				break
+			}
+		}
+		a.Class = pick(l.Classes, rng.Float64())
+		c := &w.Classes[a.Class]
+		a.Left = c.Limit
+		a.Work = c.Work.Draw(rng)
+		if x := rng.Float64(); a.Class == len(w.Classes)-1 && x < l.Heavy {
+			a.Work *= l.Slow
+		}
+		if rng.Float64() < l.Early {
+			a.Left = time.Second
+		}
+		if c.HintSpread >= 0 {
+			a.Hint = time.Duration(a.Work * math.Exp(c.HintSpread*rng.NormFloat64()) * 1e9)
+		}
+		if l.Leaves > 0 && rng.Float64() < l.Leaves {
+			a.Left = time.Duration(float64(a.Left) * rng.Float64())
+		}
+		if sizes := s.Classes[a.Class].Slots; len(sizes) > 1 {
+			x, n := rng.Float64(), 0
+			for ; n < len(sizes)-1 && x >= sizes[n]; n++ {
+				x -= sizes[n]
+			}
+			a.Slots = 1 << n
+		}
+		if len(l.Tenants) > 0 {
+			a.Tenant = pick(l.Tenants, rng.Float64())
+			for i, t := range w.Tenants { // each pays off what it owes at the pace of its share
+				spent[i] = max(0, spent[i]-t.Quota*gap)
+			}
+			owed, quota := &spent[a.Tenant], w.Tenants[a.Tenant].Quota
+			if a.Over = *owed+a.Work > quota*quotaFor.Seconds()+mean; !a.Over {
+				*owed += a.Work
+			}
+		}
+		w.Arrivals = append(w.Arrivals, a)
+	}
+}
--- /dev/null
+++ b/sim/site/site_test.go
@@ -0,0 +1,259 @@
+package site
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"liftgauge/internal/settings/cuefile"
+	"liftgauge/sim"
+)
+
+// load1 is a site that ships with the program.
+func load1(t *testing.T, name string) *Site {
+	t.Helper()
+	s, err := Load(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestFleet: what a fleet of dispatchers does together, on fixed seeds in virtual time: no unsafe job runs twice, workers
+// get few probes and connections in any second, and calls at discovery stay within a few for each dispatcher, however many
+// there are.
+func TestFleet(t *testing.T) {
+	trinidad := load1(t, "trinidad")
+	for _, day := range FleetDays {
+		for _, n := range []int{20, 120} {
+			w, err := trinidad.Day(day, n, 60, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := sim.Run(w, 1)
+			starts, moves := n, 0
+			for _, f := range w.Faults {
+				switch f.Effect {
+				case sim.Dispatcher, sim.DispatcherEnds:
+					starts++
+				case sim.ListMoves:
+					moves += n // all call anew within a second, as the operators have them do
+				}
+			}
+			// A dispatcher makes one call that is taken, and up to two that come too late.
+			if r.Duplicates > 0 || int(r.Lists) > 3*(starts+moves) || r.MostLists > 50+moves {
+				t.Errorf("%s, %d dispatchers: %d duplicates, %d calls at discovery, %d in a second", day, n, r.Duplicates, r.Lists, r.MostLists)
+			}
+			// A worker bears some ten probes a second in all, and connections by hundreds.
+			if r.MostConnects > 40 || r.MostProbes > 10 {
+				t.Errorf("%s, %d dispatchers: %d new connections and %d probes at a worker in a second", day, n, r.MostConnects, r.MostProbes)
+			}
+			if r.Breaches > 1 {
+				t.Errorf("%s, %d dispatchers: %d cold workers pushed over by those that knew, margin %.2f", day, n, r.Breaches, r.Margin)
+			}
+			var offered, ends int64
+			for _, c := range r.Classes {
+				offered, ends = offered+c.Offered, ends+c.InTime+c.Late+c.Refused+c.Failed+c.Lost
+			}
+			if offered != ends || offered == 0 {
+				t.Errorf("%s, %d dispatchers: %d jobs offered, %d ended", day, n, offered, ends)
+			}
+		}
+	}
+	for _, bad := range []struct {
+		day                string
+		dispatchers, boxes int
+	}{{"feast", 80, 60}, {"zone", 0, 60}, {"zone", 80, 4}, {"zone", MostDispatchers + 1, 60}, {"zone", 80, MostBoxes + 1}} {
+		if _, err := trinidad.Day(bad.day, bad.dispatchers, bad.boxes, 1); err == nil {
+			t.Errorf("%v is taken", bad)
+		}
+	}
+}
+
+// TestFleetDays: what a day is named for happens in it: each effect is felt in what its run shows.
+func TestFleetDays(t *testing.T) {
+	trinidad := load1(t, "trinidad")
+	const n, boxes = 60, 40
+	count := func(w *sim.World) map[sim.Effect]int {
+		m := map[sim.Effect]int{}
+		for _, f := range w.Faults {
+			m[f.Effect]++
+		}
+		return m
+	}
+	for day, want := range map[string]map[sim.Effect]int{
+		"calm": {}, "roll": {sim.BoxDrains: boxes / 2, sim.DispatcherEnds: n, sim.ListMoves: 1}, "herd": {sim.BoxDrains: boxes / 2},
+		"zone": {sim.StationBoxes: 1, sim.StationLinks: 1}, "split": {sim.ListsLate: 1, sim.Resets: 1, sim.AnswersLost: 1}, "join": {sim.BoxDrains: 6 * boxes / 10},
+	} {
+		for seed := range uint64(6) {
+			w, err := trinidad.Day(day, n, boxes, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := count(w)
+			for e, c := range want {
+				if got[e] != c {
+					t.Errorf("%s, seed %d: effect %d comes %d times, want %d", day, seed, e, got[e], c)
+				}
+			}
+			if day == "herd" && got[sim.Dispatcher] < 42 || day == "split" && got[sim.StationLinks] == 0 && got[sim.BoxSilent] != boxes/5 || day == "calm" && len(got) > 0 {
+				t.Errorf("%s, seed %d: %v", day, seed, got)
+			}
+			least, most, sum := 1e9, 0.0, 0.0
+			for _, s := range w.Shares {
+				least, most, sum = min(least, s), max(most, s), sum+s
+			}
+			if most < 2*sum/n || least > sum/n/2 {
+				t.Errorf("%s, seed %d: dispatchers' traffic is %.2f to %.2f of %.2f in the mean: too even", day, seed, least, most, sum/n)
+			}
+		}
+	}
+}
+
+// TestCrowdedZoneIsRelieved: a zone whose clients ask for more than its boxes can do, among idle ones. Within 2 s of the load's
+// coming its jobs go elsewhere, and soon no more of them wait than elsewhere by much. Before, they stayed, and all waited.
+func TestCrowdedZoneIsRelieved(t *testing.T) {
+	w, err := load1(t, "trinidad").Day("calm", 150, 100, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range w.Arrivals { // from second 10 on six in ten jobs come to zone 2, and no other burst
+		if w.Arrivals[i].Station = i % w.Stations; w.Arrivals[i].At > 10*time.Second && i%10 < 5 {
+			w.Arrivals[i].Station = 2
+		}
+	}
+	for i := range w.Boxes {
+		w.Boxes[i].Station = i % w.Stations
+	}
+	r := sim.Run(w, 5)
+	left := func(from, to int) (share float64) {
+		l, s := int64(0), int64(0)
+		for _, row := range r.Zones[from:to] {
+			l += row[2].Left
+			for _, z := range row {
+				s += z.Sent
+			}
+		}
+		return float64(l) / float64(s)
+	}
+	if before, soon, later := left(5, 10), left(12, 14), left(14, 24); before > 0.12 || soon < 0.2 || later < 0.25 {
+		t.Errorf("of all attempts %.2f left zone 2 before, %.2f in the third and fourth second, %.2f later", before, soon, later)
+	}
+}
+
+// TestPolicies: on a calm day of many dispatchers the module does better than random choice, and no policy but one that
+// sees the state of the boxes does as well.
+func TestPolicies(t *testing.T) {
+	service := map[string]float64{}
+	for _, name := range sim.PolicyNames {
+		w, err := load1(t, "trinidad").Day("calm", 120, 80, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Policy = sim.PolicyNamed(name)
+		service[name] = sim.Run(w, 3).Service
+	}
+	for _, name := range []string{"random", "rounds", "two-choices"} {
+		if service["module"] < service[name]+0.05 {
+			t.Errorf("service %.3f, %s %.3f", service["module"], name, service[name])
+		}
+	}
+	if service["late-truth"] < service["random"] {
+		t.Errorf("seeing the truth gives %.3f, choosing at random %.3f", service["late-truth"], service["random"])
+	}
+	if sim.PolicyNamed("best") != nil {
+		t.Error("a policy that there is not")
+	}
+}
+
+// TestSites: what ships is drawn and played, each job gets one end, and what a site says is felt: reports come, lists without being asked for,
+// no start is told, tenants ask for more than their shares.
+func TestSites(t *testing.T) {
+	for _, name := range Names {
+		s := load1(t, name)
+		for _, day := range OwnDays {
+			w, err := s.Day(day, 0, 0, 3)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := sim.Run(w, 3)
+			var offered, ends int64
+			for _, c := range r.Classes {
+				offered, ends = offered+c.Offered, ends+c.InTime+c.Late+c.Refused+c.Failed+c.Lost
+			}
+			if offered != ends || offered < 500 || r.Duplicates > 0 || r.Breaches > 0 || r.G > r.Service+1e-9 && r.G > 1 {
+				t.Errorf("%s, %s: %d jobs offered, %d ended, %d duplicates, %d breaches, G %.3f", name, day, offered, ends, r.Duplicates, r.Breaches, r.G)
+			}
+			if s.Discovery.Pushed != (r.Lists == 0) || w.Untold == s.TellsStart || (w.Report == nil) != (len(s.Report.Fields) == 0) {
+				t.Errorf("%s, %s: %d calls at discovery, starts untold %v, reports %v", name, day, r.Lists, w.Untold, w.Report)
+			}
+			over := 0
+			for _, a := range w.Arrivals {
+				if a.Over {
+					over++
+				}
+			}
+			if len(s.Tenants) == 0 && over > 0 || len(s.Tenants) > 0 && day == "overload" && over == 0 {
+				t.Errorf("%s, %s: %d jobs beyond their tenants' shares", name, day, over)
+			}
+		}
+	}
+}
+
+// TestTroubles: each of a site's troubles comes on some seed, and does what it is named for.
+func TestTroubles(t *testing.T) {
+	s := load1(t, "lensbrug")
+	for _, c := range []struct {
+		effect string
+		want   sim.Effect
+		least  int
+	}{{"crash", sim.BoxDies, 1}, {"hang", sim.BoxStalls, 1}, {"pauses", sim.BoxStalls, 10}, {"slow", sim.BoxesSlow, 1}} {
+		one := *s
+		one.Troubles = nil
+		for _, x := range s.Troubles {
+			if x.Effect == c.effect {
+				one.Troubles = append(one.Troubles, x)
+			}
+		}
+		w, err := one.Day("big", 4, 12, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		for _, f := range w.Faults {
+			if f.Effect == c.want {
+				n++
+			}
+		}
+		with := sim.Run(w, 5)
+		if w.Faults = nil; n < c.least || sim.Run(w, 5).Service == with.Service {
+			t.Errorf("%s: %d faults, and nothing is felt", c.effect, n)
+		}
+	}
+}
+
+// TestMistakes: what is wrong with a site file is told in a line each, with the file's line and the field.
+func TestMistakes(t *testing.T) {
+	good, err := files.ReadFile("lensbrug.cue")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{"zones:          2", "zones: 0", "x.cue:3: zones"},
+		{"boxes:          [7, 9]", "boxes: [9, 7]", "x.cue:4: boxes"},
+		{`shape: "lognormal"`, `shape: "bell"`, "shape"},
+		{"speed: [1.1, 1.5]", "speed: [0, 1.5]", "kinds.0.speed"},
+		{`fields: ["latency_ms"`, `fields: ["mood"`, "report.fields"},
+		{"overload: [1, 1.3]", "overload: [-1, 1.3]", "load.overload"},
+	} {
+		text := strings.Replace(string(good), c.old, c.new, 1)
+		var wrong cuefile.Error
+		if _, err := Parse("x.cue", []byte(text)); !errors.As(err, &wrong) || !strings.Contains(wrong[0], c.want) || strings.Contains(wrong[0], "\n") {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Load("nowhere"); err == nil || !strings.Contains(err.Error(), "trinidad") {
+		t.Error(err)
+	}
+}
