Hand the hosts' load reports to the module, from answers, call-backs and probes

To blame: owner.ended and owner.Probed passed nil, config took probes of load only where reports come by probe.

Change: internal/load reads a report by the names that the settings give, in any order, with more than is named; south hands on that of an answer and of a probe (/-/load, header or body), north that of a call-back. What cannot be read (missing, twice, negative, infinite, no number, over 1 KiB) is left aside whole, counted as edge_lb_load_reports_bad_total and logged once; the job's end counts all the same.

--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -21,6 +21,7 @@
 	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/inventory"
+	"liftgauge/internal/load"
 	"liftgauge/internal/north"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/south"
@@ -136,9 +137,10 @@
 	bytes.Check = check
 	sink := &lateSink{}
 	n.pulls = pulls
+	loads := load.New(c.Loads, log)
 	northConns, southConns, pullConns := n.room(c.Sockets, c.Memory)
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
-		MaxConns: southConns, ProbeLoad: c.Probes, Now: now, Log: log})
+		MaxConns: southConns, Loads: loads, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
 	list.Pushed = !c.Settings.MustAsk
@@ -165,7 +167,7 @@
 		wrap = pulls.wrap(c.Classes)
 	}
 	clients := north.New(north.Config{Desk: sink, Wrap: wrap, Subject: records.subject(), Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
-		MaxConns: northConns, Budget: bytes, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
+		MaxConns: northConns, Loads: loads, Budget: bytes, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
 	n.owner, n.clients, n.hosts, n.list, n.bytes = sink.Owner, clients, hosts, list, bytes
 	if n.peer != nil {
 		n.Share(n.peer.Live())
@@ -179,7 +181,7 @@
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
 		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Drain: clients.Drain, Offline: n.call, Log: log,
-			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes, records) }})
+			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes, records, loads) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
 	if pulls != nil {
@@ -218,10 +220,13 @@
 }
 
 // figures gathers the counts, each from where the thing is counted.
-func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget, records *records) control.Figures {
+func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget, records *records, loads *load.Reader) control.Figures {
 	f := control.Figures{Forwards: o.Forwards(), Outstanding: clients.Outstanding()}
 	f.Discovered, f.Ejected = o.Fleet()
 	f.More = append(pulls.figures(bytes), records.figures()...)
+	if loads != nil {
+		f.More = append(f.More, control.Figure{Name: "load_reports_bad_total", N: loads.Bad()})
+	}
 	for i, name := range c.Classes {
 		r := clients.Results(i)
 		f.Classes = append(f.Classes, control.Class{Name: name, Succeeded: r.Succeeded, Declined: r.Declined, Aborted: r.Aborted})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,7 +32,7 @@
 	Zones     []string
 	Kinds     []string
 	Keepalive time.Duration // a host's machine closes a connection that stood idle for so long
-	Probes    bool          // hosts report their load to probes
+	Loads     []string      // names of the values in hosts' load reports, in the module's order; none: they report nothing
 	Known     []byte        // the inventory as this dispatcher last had it, in the inventory's own form
 
 	listed string // discovery as the file has it
@@ -83,7 +83,7 @@
 		{"control", c.Control == next.Control},
 		{"seed", c.Seed == next.Seed},
 		{"limits", c.Memory == next.Memory && c.Sockets == next.Sockets},
-		{"settings", c.Keepalive == next.Keepalive && c.Probes == next.Probes && slices.Equal(c.Classes, next.Classes) &&
+		{"settings", c.Keepalive == next.Keepalive && slices.Equal(c.Loads, next.Loads) && slices.Equal(c.Classes, next.Classes) &&
 			slices.Equal(c.Zones, next.Zones) && slices.Equal(c.Kinds, next.Kinds) && reflect.DeepEqual(c.Settings, next.Settings)},
 	} {
 		if !f.same {
@@ -132,7 +132,9 @@
 	c.Settings, c.Classes = settings(f)
 	c.Zones, c.Kinds = f.Texts("dcs"), f.Texts("kinds")
 	c.Keepalive = f.Object("limits").Span("keepaliveNs")
-	c.Probes = f.Object("loadReport").Text("how") == "probe"
+	if reports := f.Object("loadReport"); reports.Text("how") != "none" {
+		c.Loads = reports.Texts("columns")
+	}
 	if err := root.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -39,7 +39,7 @@
 	Passed(a *owner.Attempt, what any, settled func())
 	Served(a *owner.Attempt, result []byte, settled func())
 	Ended(a *owner.Attempt, status balance.Status)
-	Probed(h owner.Host, status balance.Status)
+	Probed(h owner.Host, status balance.Status, load []float32)
 	After(f func())
 }
 
@@ -548,7 +548,7 @@
 	if !there {
 		status = balance.ConnectFailed
 	}
-	s.tasks.Go(func() error { s.Desk.Probed(h, status); return nil })
+	s.tasks.Go(func() error { s.Desk.Probed(h, status, nil); return nil })
 }
 
 // Forget has nothing to drop: a worker's connection is its own.
--- a/internal/jsonval/jsonval.go
+++ b/internal/jsonval/jsonval.go
@@ -82,6 +82,15 @@
 	return Object{v, o.path + key + ".", o.err}
 }
 
+// Part returns a member that is an object, whose mistakes are its own and not this one's; ok false: there is none.
+func (o Object) Part(key string) (part Object, ok bool) {
+	v := o.get(key)
+	if v == nil || v.Type() != fastjson.TypeObject {
+		return Object{}, false
+	}
+	return Object{v, key + ".", new(error)}, true
+}
+
 // array returns the elements of a member.
 func (o Object) array(key string) []*fastjson.Value {
 	v := o.get(key)
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,148 @@
+// Package load reads what hosts report of their load: a header of an answer, or a member of a call-back.
+//
+// A report only helps the module to choose. One that cannot be read is counted, logged the first time, and left aside whole; what it
+// came with counts all the same.
+package load
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"liftgauge/internal/jsonval"
+)
+
+// Header is the field of an answer that carries a report.
+const Header = "Srv-Load"
+
+// MostText bounds the text of a report: the settings name four values at most, each of some twenty bytes.
+const MostText = 1 << 10
+
+// Reader reads reports. A nil Reader is of a deployment that has none, and reads nothing. It is safe for concurrent use.
+type Reader struct {
+	columns []string // names of the values, in the module's order
+	log     *slog.Logger
+	bad     atomic.Int64
+}
+
+// New returns a Reader of reports with values of these names; nil where there are none.
+func New(columns []string, log *slog.Logger) *Reader {
+	if len(columns) == 0 {
+		return nil
+	}
+	return &Reader{columns: columns, log: log}
+}
+
+// Bad is how many reports could not be read.
+func (r *Reader) Bad() int64 {
+	if r == nil {
+		return 0
+	}
+	return r.bad.Load()
+}
+
+// Text reads a report in the form of the header: name=value, separated by commas, in any order. Values that the settings do not
+// name are skipped. An empty text is no report.
+func (r *Reader) Text(host, text string) []float32 {
+	if r == nil || text == "" {
+		return nil
+	}
+	values, err := r.text(text)
+	return r.checked(host, values, err)
+}
+
+func (r *Reader) text(text string) ([]float32, error) {
+	if len(text) > MostText {
+		return nil, fmt.Errorf("%d bytes, %d at most", len(text), MostText)
+	}
+	values, seen := make([]float32, len(r.columns)), 0
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		i := r.column(strings.TrimSpace(name))
+		if !ok {
+			return nil, errors.New("want name=value")
+		}
+		if i < 0 {
+			continue
+		}
+		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !sound(x) {
+			return nil, fmt.Errorf("%s: want a number from 0 on", name)
+		}
+		if seen&(1<<i) != 0 {
+			return nil, fmt.Errorf("%s: told twice", name)
+		}
+		values[i] = float32(x)
+		seen |= 1 << i
+	}
+	if seen != 1<<len(r.columns)-1 {
+		return nil, errors.New("values are missing")
+	}
+	return values, nil
+}
+
+// Body reads a report that is a whole body: an object, or the text of the header. The protocol names no form.
+func (r *Reader) Body(host string, body []byte) []float32 {
+	body = bytes.TrimSpace(body)
+	if r == nil || len(body) == 0 || body[0] != '{' {
+		return r.Text(host, string(body))
+	}
+	var p jsonval.Parser
+	o, err := p.Parse(body)
+	if err != nil {
+		return r.checked(host, nil, err)
+	}
+	return r.object(host, o)
+}
+
+// Member reads a report that is the member of that name, if there is one.
+func (r *Reader) Member(host string, of jsonval.Object, key string) []float32 {
+	if r == nil || !of.Has(key) {
+		return nil
+	}
+	o, ok := of.Part(key)
+	if !ok {
+		return r.checked(host, nil, errors.New("want an object"))
+	}
+	return r.object(host, o)
+}
+
+func (r *Reader) object(host string, o jsonval.Object) []float32 {
+	values := make([]float32, len(r.columns))
+	for i, name := range r.columns {
+		x := o.Float(name)
+		if !o.Has(name) || o.Err() != nil || !sound(x) {
+			return r.checked(host, nil, fmt.Errorf("%s: want a number from 0 on", name))
+		}
+		values[i] = float32(x)
+	}
+	return values
+}
+
+// checked counts a report that cannot be read.
+func (r *Reader) checked(host string, values []float32, err error) []float32 {
+	if err == nil {
+		return values
+	}
+	if r.bad.Add(1) == 1 {
+		r.log.Warn("load report left aside; further ones are only counted", "host", host, "err", err)
+	}
+	return nil
+}
+
+func (r *Reader) column(name string) int {
+	for i, c := range r.columns {
+		if c == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// sound: a number that a module may go by, and that a float32 holds.
+func sound(x float64) bool { return x >= 0 && x <= math.MaxFloat32 }
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -174,7 +174,7 @@
 	if parser == nil {
 		parser = &jsonval.Parser{}
 	}
-	report, err := parseReport(parser, body)
+	report, err := s.parseReport(parser, body)
 	s.parsers.Put(parser)
 	if err != nil {
 		s.Log.Warn("malformed call-back", "err", err)
@@ -202,7 +202,7 @@
 }
 
 // parseReport reads a call-back.
-func parseReport(p *jsonval.Parser, body []byte) (owner.Report, error) {
+func (s *Server) parseReport(p *jsonval.Parser, body []byte) (owner.Report, error) {
 	o, err := p.Parse(body)
 	if err != nil {
 		return owner.Report{}, err
@@ -229,5 +229,6 @@
 	default:
 		o.Fail("state", "a known state")
 	}
+	r.Load = s.Loads.Member(r.From, o, "load")
 	return r, o.Err()
 }
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -17,6 +17,7 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
+	"liftgauge/internal/load"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/sock"
 )
@@ -52,6 +53,7 @@
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
+	Loads    *load.Reader // of hosts' load reports; nil where they have none
 	// Subject hashes what a message is about, for records; nil where none are kept.
 	Subject func(key string) uint64
 	// Wrap makes the payload that other sides understand; nil where there are only hosts that speak HTTP.
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/jsonval"
+	"liftgauge/internal/load"
 	"liftgauge/internal/owner"
 )
 
@@ -611,12 +613,28 @@
 	})
 }
 
+// TestLoadInReport: a call-back's load goes on with it; one that cannot be read does not keep its job's end from counting.
+func TestLoadInReport(t *testing.T) {
+	s := &Server{Config: Config{Loads: load.New([]string{"util", "x0"}, slog.New(slog.DiscardHandler))}}
+	const head = `{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"done","result":"r"`
+	for text, want := range map[string][]float32{head + `,"load":{"util":0.5,"x0":3}}`: {0.5, 3}, head + `}`: nil, head + `,"load":7}`: nil,
+		head + `,"load":{"util":"high","x0":3}}`: nil, head + `,"load":{"x0":3}}`: nil} {
+		r, err := s.parseReport(&jsonval.Parser{}, []byte(text))
+		if err != nil || r.State != owner.Done || string(r.Result) != "r" || !slices.Equal(r.Load, want) {
+			t.Errorf("%s: %+v, %v", text, r, err)
+		}
+	}
+	if s.Loads.Bad() != 3 {
+		t.Errorf("%d bad reports", s.Loads.Bad())
+	}
+}
+
 // FuzzReport checks that no call-back panics and that what is accepted names a message and a host.
 func FuzzReport(f *testing.F) {
 	f.Add([]byte(report))
 	f.Add([]byte(`{"id":"9b1f03aa5c7e2d41","from":"s-0badcafe","state":"running","share":0.4}`))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		if r, err := parseReport(&jsonval.Parser{}, in); err == nil && (r.Key == "" || r.From == "") {
+		if r, err := (&Server{}).parseReport(&jsonval.Parser{}, in); err == nil && (r.Key == "" || r.From == "") {
 			t.Errorf("report %+v", r)
 		}
 	})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,6 +77,9 @@
 	// Clear reports whether the attempt may still be sent. It is to be asked right before the first byte: between the
 	// decision and the send the host may have begun to drain or the attempt may have been withdrawn.
 	Clear func() bool
+	// Load is what the host reported of its load with the answer that ended the attempt, in the settings' order; nil: nothing. The side sets
+	// it before it says Ended.
+	Load []float32
 
 	open   *open
 	number int
@@ -436,6 +439,7 @@
 	State     State
 	Share     float64
 	Result    []byte
+	Load      []float32 // of the host, in the settings' order; nil: it reported none
 }
 
 // Reported takes a host's word. False says that the queue is full; the host will say it again. Else known, if it is
@@ -532,9 +536,9 @@
 	o.post(func(now time.Duration) { o.ended(now, a, status, nil) })
 }
 
-// Probed says how a probe ended.
-func (o *Owner) Probed(h Host, status balance.Status) {
-	o.post(func(now time.Duration) { o.module.Probed(now, h.Worker.ID, status, nil) })
+// Probed says how a probe ended, and what the host reported of its load with the answer.
+func (o *Owner) Probed(h Host, status balance.Status, load []float32) {
+	o.post(func(now time.Duration) { o.module.Probed(now, h.Worker.ID, status, load) })
 }
 
 // List hands in the inventory, or changes to it.
@@ -657,6 +661,9 @@
 		o.counts.LateReports++
 		return
 	}
+	if r.State != Started && r.State != Progress {
+		a.Load = r.Load
+	}
 	switch r.State {
 	case Started:
 		o.Log.Debug("attempt started", "message", p.Key, "host", a.Host.Name, "took", now-a.sent)
@@ -705,7 +712,7 @@
 		o.answer(p, Answer{Kind: Served, Result: result})
 	}
 	o.module.Outcome(now, balance.Outcome{Job: p.id, Attempt: a.number, Worker: a.Host.Worker.ID, Status: status,
-		Took: now - a.sent, Closed: p.answered})
+		Took: now - a.sent, Closed: p.answered, Report: a.Load})
 	if !p.answered && p.out == 0 && p.Event != nil {
 		p.Event(Waits{})
 	}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -14,6 +14,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
+	"liftgauge/internal/load"
 	"liftgauge/internal/owner"
 )
 
@@ -28,7 +29,7 @@
 type Sink interface {
 	Written(a *owner.Attempt, fresh bool)
 	Ended(a *owner.Attempt, status balance.Status)
-	Probed(h owner.Host, status balance.Status)
+	Probed(h owner.Host, status balance.Status, load []float32)
 }
 
 // Config is what a Client needs.
@@ -37,7 +38,7 @@
 	ConnectTimeout time.Duration
 	Keepalive      time.Duration // hosts close what stood idle so long
 	MaxConns       int
-	ProbeLoad      bool // hosts have load reports
+	Loads          *load.Reader // of hosts' load reports; nil where they have none
 	Now            func() time.Duration
 	Log            *slog.Logger
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
@@ -130,9 +131,9 @@
 func (c *Client) Probe(h owner.Host) {
 	c.spawn(func() {
 		began := c.Now()
-		status := c.probe(h)
+		status, told := c.probe(h)
 		c.Log.Debug("probe ended", "host", h.Name, "status", status, "took", c.Now()-began)
-		c.Sink.Probed(h, status)
+		c.Sink.Probed(h, status, told)
 	})
 }
 
@@ -197,7 +198,7 @@
 	// them counts as perhaps run for as long as the client waits. A new connection shows at once whether it is there.
 	doubt := time.AfterFunc(c.ConnectTimeout, func() { c.pool.forget(a.Host.Name) })
 	defer doubt.Stop()
-	answer, err := c.answer(conn, stop) // before the 202, closing the connection also gives the attempt up
+	answer, _, err := c.answer(conn, stop, 0) // before the 202, closing the connection also gives the attempt up
 	if err != nil {
 		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
 			return balance.Cancelled
@@ -206,6 +207,8 @@
 		c.broke(ctx, conn)
 		return balance.Reset
 	}
+	text, _ := answer.Fields.Get(load.Header)
+	a.Load = c.Loads.Text(a.Host.Name, text)
 	return outcome(answer)
 }
 
@@ -221,24 +224,29 @@
 }
 
 // answer reads an answer with its body. It keeps the connection if it can be used again; stop ends what may still set
-// its deadlines, and where that has begun already the connection is not kept.
-func (c *Client) answer(conn *conn, stop func() bool) (*http1.Response, error) {
+// its deadlines, and where that has begun already the connection is not kept. A body of up to some size is kept, if it comes whole.
+func (c *Client) answer(conn *conn, stop func() bool, keep int64) (*http1.Response, []byte, error) {
 	for {
 		answer, err := conn.r.ReadResponse()
 		if err != nil {
 			c.pool.drop(conn)
-			return nil, err
+			return nil, nil, err
 		}
 		if answer.Status < 200 {
 			continue
 		}
-		err = conn.r.SkipBody(&answer.Head, maxAnswer)
+		var body []byte
+		if answer.Length > 0 && answer.Length <= keep {
+			body, err = conn.r.ReadBodyInto(&answer.Head, make([]byte, answer.Length))
+		} else {
+			err = conn.r.SkipBody(&answer.Head, maxAnswer)
+		}
 		if err == nil && !answer.Close && conn.r.Buffered() == 0 && stop() {
 			c.pool.put(conn)
 		} else {
 			c.pool.drop(conn)
 		}
-		return answer, nil
+		return answer, body, nil
 	}
 }
 
@@ -257,51 +265,57 @@
 // giveUp tells a host that nobody waits for a job any more.
 func (c *Client) giveUp(a *owner.Attempt) {
 	call := callOf(a.Message)
-	if _, status := c.ask(a.Host, "DELETE", "/jobs/"+call.ID, giveUpWithin); status != balance.OK {
+	if _, _, status := c.ask(a.Host, "DELETE", "/jobs/"+call.ID, giveUpWithin); status != balance.OK {
 		c.Log.Debug("withdrawal not heard", "message", call.ID, "host", a.Host.Name, "status", status)
 	}
 }
 
-func (c *Client) probe(h owner.Host) balance.Status {
+// probe asks for a host's load where it reports any, else whether it is well.
+func (c *Client) probe(h owner.Host) (balance.Status, []float32) {
 	target := "/-/healthy"
-	if c.ProbeLoad {
+	if c.Loads != nil {
 		target = "/-/load"
 	}
-	answer, status := c.ask(h, "GET", target, probeWithin)
+	answer, body, status := c.ask(h, "GET", target, probeWithin)
 	switch {
 	case answer == nil:
-		return status
+		return status, nil
 	case answer.Status == 200:
-		return balance.OK
+		status = balance.OK
 	case answer.Status == 503:
-		return balance.Full
+		status = balance.Full
+	default:
+		return balance.Errored, nil
+	}
+	if text, _ := answer.Fields.Get(load.Header); text != "" {
+		return status, c.Loads.Text(h.Name, text)
 	}
-	return balance.Errored
+	return status, c.Loads.Body(h.Name, body)
 }
 
-// ask makes one call that carries no job, within a time. OK says that an answer came.
-func (c *Client) ask(h owner.Host, method, target string, within time.Duration) (*http1.Response, balance.Status) {
+// ask makes one call that carries no job, within a time. OK says that an answer came, whose body is given if it is short.
+func (c *Client) ask(h owner.Host, method, target string, within time.Duration) (*http1.Response, []byte, balance.Status) {
 	ctx, stop := context.WithTimeout(c.ctx, within)
 	defer stop()
 	conn, err := c.pool.get(ctx, h)
 	switch {
 	case errors.Is(err, errNoRoom):
-		return nil, balance.Moot
+		return nil, nil, balance.Moot
 	case err != nil:
-		return nil, balance.ConnectFailed
+		return nil, nil, balance.ConnectFailed
 	}
 	abort := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
 	defer abort()
 	request := http1.AppendRequest(nil, method, target, http1.Fields{{Name: "Host", Value: h.Address}}, nil)
 	if _, err := conn.Write(request); err != nil {
 		c.pool.drop(conn)
-	} else if answer, err := c.answer(conn, abort); err == nil {
-		return answer, balance.OK
+	} else if answer, body, err := c.answer(conn, abort, load.MostText); err == nil {
+		return answer, body, balance.OK
 	}
 	if ctx.Err() != nil {
 		c.pool.forget(h.Name)
-		return nil, balance.TimedOut
+		return nil, nil, balance.TimedOut
 	}
 	c.broke(ctx, conn)
-	return nil, balance.Reset
+	return nil, nil, balance.Reset
 }
--- a/internal/south/south_test.go
+++ b/internal/south/south_test.go
@@ -15,6 +15,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
+	"liftgauge/internal/load"
 	"liftgauge/internal/owner"
 )
 
@@ -32,6 +33,7 @@
 	written []bool   // on fresh connections
 	refuse  bool
 	status  []balance.Status // what the client reported
+	loads   [][]float32
 }
 
 func (h *host) note(f func()) {
@@ -43,11 +45,11 @@
 func (h *host) Written(_ *owner.Attempt, fresh bool) {
 	h.note(func() { h.written = append(h.written, fresh) })
 }
-func (h *host) Ended(_ *owner.Attempt, s balance.Status) {
-	h.note(func() { h.status = append(h.status, s) })
+func (h *host) Ended(a *owner.Attempt, s balance.Status) {
+	h.note(func() { h.status, h.loads = append(h.status, s), append(h.loads, a.Load) })
 }
-func (h *host) Probed(_ owner.Host, s balance.Status) {
-	h.note(func() { h.status = append(h.status, s) })
+func (h *host) Probed(_ owner.Host, s balance.Status, loads []float32) {
+	h.note(func() { h.status, h.loads = append(h.status, s), append(h.loads, loads) })
 }
 
 func (h *host) dial(ctx context.Context, _ string) (net.Conn, error) {
@@ -325,6 +327,49 @@
 	})
 }
 
+// TestLoads: what a host reports of its load comes with what it answers, to a job and to a probe, in its body or beside it.
+func TestLoads(t *testing.T) {
+	within(t, 8, func(w *world) {
+		w.c.Loads = load.New([]string{"util", "x0"}, w.c.Log)
+		const told = "Srv-Load: x0=3,util=0.5\r\n"
+		body := func(text string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		}
+		for _, c := range []struct {
+			probe  bool
+			answer string
+			want   bool
+		}{
+			{false, "HTTP/1.1 503 No\r\n" + told + declined, true},
+			{false, "HTTP/1.1 500 No\r\n" + told + empty, true},
+			{false, "HTTP/1.1 500 No\r\nSrv-Load: x0=-3,util=0.5\r\n" + empty, false},
+			{true, "HTTP/1.1 200 OK\r\n" + told + empty, true},
+			{true, body("x0=3,util=0.5"), true},
+			{true, body(`{"util":0.5,"x0":3,"more":{}}`), true},
+			{true, body("{"), false},
+			{true, body(strings.Repeat(" ", 60000) + "x0=3,util=0.5"), false},
+			{true, body(""), false},
+		} {
+			w.note(func() { w.act, w.heard, w.loads = step{answer: c.answer}, nil, nil })
+			if c.probe {
+				w.c.Probe(w.to)
+			} else {
+				w.c.Send(w.t.Context(), w.attempt(false))
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+			w.note(func() {
+				if len(w.loads) != 1 || (len(w.loads[0]) == 2 && w.loads[0][0] == 0.5 && w.loads[0][1] == 3) != c.want || !c.want && w.loads[0] != nil {
+					t.Errorf("%.80q: %v", c.answer, w.loads)
+				}
+				if c.probe && w.heard[0] != "GET /-/load" {
+					t.Errorf("asked %q", w.heard)
+				}
+			})
+		}
+	})
+}
+
 // TestNoRoom: a shortage of connections here is no fault of the host, and an idle one makes room.
 func TestNoRoom(t *testing.T) {
 	within(t, 1, func(w *world) {
