Leave out a worker that answers a probe with a no until one is answered with a yes

Checked and excluded: the host serves well in between (pauses after errors are short as its jobs' mean is), nothing of it is in the list, its load report is good. To blame: Probed in balance.go took any answer but a refused connection for a sign of life. Change: a no counts as a failure; the next probe comes as for a worker that is down. A running time of 0 no longer makes the estimate of others' slots no number (mean of 0).

The test fails without it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -463,14 +463,14 @@
 	if a.started {
 		from = a.began
 	}
-	w, took := a.w, (now-from).Seconds()/r.size
+	w, took := a.w, max((now-from).Seconds(), 1e-6)/r.size
 	g := gain(&d.served[r.class], 0.02)
 	d.mean += (took*r.size - d.mean) * g
 	if !a.tells {
 		return
 	}
-	d.unit[r.class] *= math.Pow(max(took, 1e-6)/d.unit[r.class], g)
-	ratio, p, k := max(took, 1e-6)/d.unit[r.class], pace(now, w), w.kind
+	d.unit[r.class] *= math.Pow(took/d.unit[r.class], g)
+	ratio, p, k := took/d.unit[r.class], pace(now, w), w.kind
 	off := ratio * d.warmth(now, w) / p
 	// Three times as long says no more than that: its hint may be far off, or it waited.
 	w.slow, w.slowAt = p*math.Pow(min(off, 3), 0.1), now
@@ -526,7 +526,7 @@
 		}
 		d.report(now, w, rep)
 		d.drain(now)
-	case status == ConnectFailed || status == Reset:
+	case status == ConnectFailed || status == Reset || status == Full: // full: it says that it is not well
 		d.failed(now, w, true)
 	}
 }
--- a/balance/report_test.go
+++ b/balance/report_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -126,6 +127,30 @@
 	}
 }
 
+// TestUnwellWorkerIsLeftOut: a worker that answers a probe with a no gets nothing until it answers one with a yes. One that erred at once
+// on every job kept its short queue, its turns and its good report.
+func TestUnwellWorkerIsLeftOut(t *testing.T) {
+	h := newHost(t, reported(), fleet(1, 1, 1)...)
+	h.reports(4, 4, 4)
+	h.d.Probed(h.now, 2, Full, []float32{4})
+	for range 3 {
+		if slices.Contains(h.serve(1+len(h.answered), 30), 2) {
+			t.Fatal("sent to a worker that says that it is not well")
+		}
+		h.probes = nil
+		h.run(h.now + time.Second)
+		if !slices.Contains(h.probes, 2) {
+			t.Fatal("not asked again")
+		}
+		h.d.Probed(h.now, 2, Full, nil)
+	}
+	h.run(h.now + 4*time.Second)
+	h.d.Probed(h.now, 2, OK, []float32{4})
+	if !slices.Contains(h.serve(1000, 30), 2) {
+		t.Error("well again, and nothing is sent there")
+	}
+}
+
 // TestLateJobTakesNoLastSlot: a job that is late by its hint may be in time all the same where hints are far off. It is not given up at
 // once, goes where several slots are free, and not where it would take the last one.
 func TestLateJobTakesNoLastSlot(t *testing.T) {
