Answer what is still open before a planned end may be cut short

Need: a class may be more patient (25 s) than a planned end lasts (3.7 s from SIGTERM to SIGKILL). leave in serve.go waited for Open() to be 0 without a bound, and north bounded only what came after the signal: an older message was killed without an answer.

Change: 3.2 s after the signal (LastAnswer, as before for late ones) the owner concludes what is open: a back-off answer where nothing can have run, else a failure; what is out is withdrawn, and the module hears that the client is done with. Both kinds of planned end, with a successor or without.

Measured: tests of the owner and of both ends, which end with messages of 20 s at 3.2 s; they did not end before.

--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -185,12 +185,12 @@
 // TestHandOver follows a planned end with a successor: the listener is left at once, idle connections go late, and the
 // program ends as soon as the last one has.
 func TestHandOver(t *testing.T) {
-	for open, want := range map[time.Duration]time.Duration{0: overlap, 3 * time.Second: 3 * time.Second} {
+	for open, want := range map[time.Duration]time.Duration{0: overlap, 3 * time.Second: 3 * time.Second, 20 * time.Second: lastAnswer} {
 		synctest.Test(t, func(t *testing.T) {
 			c := &clients{start: time.Now(), until: time.Now().Add(open)}
 			ctx, signal := context.WithCancel(t.Context())
 			signal()
-			leave(ctx, t.Context(), c, func() bool { return true }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			leave(ctx, t.Context(), c, func() bool { return true }, func() { c.until = time.Now() }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 			if got := strings.Join(c.entered, ", "); got != "leaving at 0s, handed over at 0s, closing at 0s" {
 				t.Error(got)
 			}
@@ -204,16 +204,16 @@
 // TestLeave follows a planned end: serve on through the overlap, take no new messages at the last call, and end when
 // all is answered, at once or after seconds.
 func TestLeave(t *testing.T) {
-	for _, open := range []time.Duration{0, 3 * time.Second} {
+	for _, open := range []time.Duration{0, 3 * time.Second, 20 * time.Second} { // the last are concluded before the program may be killed
 		synctest.Test(t, func(t *testing.T) {
 			c := &clients{start: time.Now(), until: time.Now().Add(open)}
 			ctx, signal := context.WithCancel(t.Context())
 			signal()
-			leave(ctx, t.Context(), c, func() bool { return false }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			leave(ctx, t.Context(), c, func() bool { return false }, func() { c.until = time.Now() }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 			if got := strings.Join(c.entered, ", "); got != "leaving at 0s, closing at 1.7s, ending at 2s" {
 				t.Error(got)
 			}
-			if took := time.Since(c.start); took != max(open, leastEnd) {
+			if took := time.Since(c.start); took != min(max(open, leastEnd), lastAnswer) {
 				t.Errorf("ended after %v with messages open for %v", took, open)
 			}
 		})
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -212,7 +212,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		leave(ctx, run, n.sides(), n.succeeded, log)
+		leave(ctx, run, n.sides(), n.succeeded, sink.Conclude, log)
 		end()
 		return nil
 	})
@@ -277,7 +277,9 @@
 //
 // Where a successor has taken over, new connections are its own from the signal on. Those that are open here close after
 // an answer, and the idle ones late: a client that has just written to one would have to send again.
-func leave(signalled, run context.Context, clients leaver, succeeded func() bool, log *slog.Logger) {
+//
+// What is still open when the program may be killed soon is concluded: a class may be more patient than a planned end.
+func leave(signalled, run context.Context, clients leaver, succeeded func() bool, conclude func(), log *slog.Logger) {
 	select {
 	case <-signalled.Done():
 	case <-run.Done():
@@ -290,10 +292,14 @@
 		clients.HandOver()
 		clients.Enter(north.Closing)
 	}
-	start := time.Now()
+	start, concluded := time.Now(), false
 	ticks := time.NewTicker(endTick)
 	defer ticks.Stop()
 	for {
+		if !concluded && time.Since(start) >= lastAnswer && clients.Open() > 0 {
+			concluded = true
+			conclude()
+		}
 		switch since := time.Since(start); {
 		case handing:
 			if since >= overlap && clients.Rest() == 0 && clients.Open() == 0 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,7 +8,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -364,6 +366,31 @@
 	})
 }
 
+// Conclude answers all that is open: the program may be killed soon, and what it has not answered by then nobody ever answers. A message
+// of which nothing can have run gets a back-off answer, any other fails. The module hears that the client is done with.
+func (o *Owner) Conclude() {
+	o.post(func(now time.Duration) {
+		n := 0
+		for _, id := range slices.Sorted(maps.Keys(o.jobs)) { // in the order in which they came
+			p := o.jobs[id]
+			if p == nil || p.answered {
+				continue
+			}
+			n++
+			a := Answer{Kind: Failed}
+			if p.out == 0 && !p.mayHave {
+				a.Kind = BackOff
+			}
+			p.gone = true
+			o.answer(p, a)
+			o.module.Left(now, p.id)
+		}
+		if n > 0 {
+			o.Log.Info("concluded", "messages", n)
+		}
+	})
+}
+
 // SetOffline leaves a host out, or lets it serve again, at an operator's word. It returns once that holds. Known says
 // whether the host was ever listed; one that was not is left as it is, unless it is sure that it was.
 func (o *Owner) SetOffline(ctx context.Context, name string, out, sure bool) (known bool, err error) {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -184,6 +184,33 @@
 	})
 }
 
+// TestConclude: what is open when the program may be killed soon is answered then, once: with a back-off answer where nothing can have
+// run, and what is out is withdrawn. A class that waits longer than a planned end lasts got no answer at all.
+func TestConclude(t *testing.T) {
+	within(t, func(t *testing.T, b *bench) {
+		out := b.submit(warning, 20*time.Second)
+		for i := range 4 { // nothing may be sent any more
+			if _, err := b.o.SetOffline(t.Context(), testHost(i, balance.Ready).Name, true, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		held := b.submit(reading, 20*time.Second)
+		b.o.Conclude()
+		b.o.Conclude()
+		synctest.Wait()
+		if len(out.answers) != 1 || out.answers[0].Kind != Failed || len(held.answers) != 1 || held.answers[0].Kind != BackOff {
+			t.Errorf("answers %v to what was out, %v to what was held", out.answers, held.answers)
+		}
+		if len(b.sends) != 1 || !errors.Is(context.Cause(b.sends[0].ctx), ErrWithdrawn) {
+			t.Errorf("%d sends, cause %v", len(b.sends), context.Cause(b.sends[0].ctx))
+		}
+		b.ended(b.sends[0], balance.Cancelled)
+		if len(b.o.jobs) != 0 || len(out.answers) != 1 {
+			t.Errorf("%d jobs kept, answers %v", len(b.o.jobs), out.answers)
+		}
+	})
+}
+
 // TestOfflineByHand: the check before a send's first byte sees an operator's word, which passes a queue that is full and
 // which no list lifts; an id that was never listed is not known.
 func TestOfflineByHand(t *testing.T) {
