Take a report without a free slot for a queue that was met: thin traffic left no full zone

To blame: leaves in balance.go goes by met, which only starts, waits and refusals feed; none of these is told on this deployment. So the figure of both zones stayed 0. Change: one line in report.

The test fails without it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -539,6 +539,7 @@
 		return // none, no number, or an old one; but a full worker says 0 for long
 	}
 	w.last, w.heardAt = rep[i], now
+	d.met(now, w, rep[i] < 0.5) // whose job comes next waits
 	x := float64(rep[i])
 	k.slots = max(k.slots, float64(int(x/1.05+0.5))) // reports are noisy: not the very highest
 	others := max(0, k.slots-x-w.lag)
--- a/balance/report_test.go
+++ b/balance/report_test.go
@@ -151,6 +151,39 @@
 	}
 }
 
+// TestThinTrafficLeavesAFullZone: where traffic is thin and no start is told, workers that report no free slot tell that the own zone is
+// crowded. Each of many dispatchers took a worker that it had not heard of lately for one with room, and none ever left.
+func TestThinTrafficLeavesAFullZone(t *testing.T) {
+	for _, c := range []struct {
+		here, there float32
+		least, most int
+	}{{0, 3, 20, 100}, {3, 3, 0, 5}, {0, 0, 0, 5}} {
+		s := reported()
+		s.Dispatchers, s.Zones, s.CrossZoneFee = 40, 2, 0.08
+		h := newHost(t, s, fleet(1, 1, 1, 1, 1, 1)...) // by turns in zone 0, the own one, and 1
+		h.reports(4, 4, 4, 4, 4, 4)
+		left := 0
+		for i := range 100 {
+			h.run(h.now + 700*ms)
+			at := WorkerID(i%6 + 1)
+			free := []float32{c.there, c.here}[at%2] // one report for each job, as there is with thin traffic
+			h.d.Probed(h.now, at, OK, []float32{free + float32(i%3)/100})
+			id := JobID(i + 1)
+			h.d.Job(h.now, Job{ID: id, Class: 4, Left: 5 * time.Second, Slots: 1, Hint: 300 * ms})
+			if len(h.sentFor[id]) == 0 {
+				continue
+			}
+			if h.sentFor[id][0]%2 == 0 {
+				left++
+			}
+			h.end(id, OK)
+		}
+		if left < c.least || left > c.most {
+			t.Errorf("%v slots free here and %v there: %d of 100 jobs left the zone, want %d to %d", c.here, c.there, left, c.least, c.most)
+		}
+	}
+}
+
 // TestLateJobTakesNoLastSlot: a job that is late by its hint may be in time all the same where hints are far off. It is not given up at
 // once, goes where several slots are free, and not where it would take the last one.
 func TestLateJobTakesNoLastSlot(t *testing.T) {
