--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -17,8 +17,8 @@
 		`{"loadReport":{"how":"answers","columns":["latency_ms","eps","util","x0"]},"familyInfo":{"reportX0":"free slots"}}`: 3,
 		`{"loadReport":{"how":"answers","columns":["mood","x0"]},"familyInfo":{"reportX0":"free slots"}}`:                    1,
 		`{"loadReport":{"how":"answers","columns":["mood","x0"]},"familyInfo":{"reportX0":"good cheer"}}`:                    -1,
-		`{"loadReport":{"how":"none","columns":[]}}`: -1,
-		`{"membershipMode":"pushed"}`:                -1,
+		`{"loadReport":{"how":"none","columns":[]}}`:                                                                         -1,
+		`{"membershipMode":"pushed"}`: -1,
 	} {
 		if s, err := ParseSettings([]byte(text)); err != nil || s.FreeSlots != want || s.MustAsk {
 			t.Errorf("%s: free slots at %d, asks %v, %v", text, s.FreeSlots, s.MustAsk, err)
