--- a/sim/site/day.go
+++ b/sim/site/day.go
@@ -151,7 +151,11 @@
 	for range dispatchers {
 		w.Shares = append(w.Shares, sim.Dist{Mean: 1, Shape: sim.Lognormal, Spread: cv}.Draw(rng))
 	}
-	l := load{length: length, Work: s.Load[cmpOr(own, day, "fleet")].draw(rng) * speed, From: traffic, Slow: 1}
+	asks := "fleet"
+	if own {
+		asks = day
+	}
+	l := load{length: length, Work: s.Load[asks].draw(rng) * speed, From: traffic, Slow: 1}
 	l.Classes = cumulated(rng, len(s.Classes), func(i int) Range { return s.Classes[i].Share })
 	if l.To = traffic; !own {
 		l.To, l.Shift = shares(skew), span(Range{9, 13})
@@ -176,13 +180,6 @@
 	return w, nil
 }
 
-func cmpOr(first bool, a, b string) string {
-	if first {
-		return a
-	}
-	return b
-}
-
 // cumulated draws the shares of n parts, of which the last is what the others leave, and adds them up.
 func cumulated(rng *rand.Rand, n int, share func(int) Range) []float64 {
 	all, sum := make([]float64, n), 0.0
