--- a/balance/balance.go
+++ b/balance/balance.go
@@ -170,7 +170,7 @@
 
 // ramp: a cold worker gets a share of its scheduled turns, half of what the rule allows, and no overflow,
 // drawn for each turn, so that nothing saved up can meet there. In an overload turns come faster: fewer count
-// as fewer jobs find room; but one job at a time may go there.
+// as fewer jobs find room, as what is turned away counts too; but one job at a time may go there.
 func (d *Dispatcher) ramp(now time.Duration, r *request, w *worker, scheduled bool) bool {
 	c := d.warmth(now, w)
 	if c >= 1 || slices.Contains(d.back, w.ID) || w.Pulls {
@@ -183,7 +183,7 @@
 	if w.own == 0 && d.placed < 0.5 && draw < 4/float64(d.s.Dispatchers) {
 		return true // most jobs wait here
 	}
-	c *= d.s.OverloadFactor / 2 * max(0.3, d.placed)
+	c *= d.s.OverloadFactor / 2 * max(0.3, d.placed) * (1 - d.turned)
 	return scheduled && w.turn != d.count && draw < c
 }
 
@@ -429,6 +429,7 @@
 	r.out--
 	d.take(now, w, -r.need)
 	d.report(now, w, o.Report)
+	d.turned *= 0.98
 	a.wait(false)
 	d.ways[w.Zone&255].saw(now, o.Status == TimedOut || o.Status == ConnectFailed, 0.05, 0.1)
 	w.errs.saw(now, o.Status == TimedOut || o.Status == Errored || o.Status == Reset, 0.2, 1)
@@ -440,6 +441,7 @@
 		w.fails, w.failedAt, w.down = w.recent(now)/2, now, false
 		d.learn(now, r, a)
 	case Full:
+		d.turned += 0.02
 		d.saw(w, true)
 	case Errored, ConnectFailed, Reset:
 		d.failed(now, w, o.Status != Errored)
@@ -637,7 +639,7 @@
 	if r.out > 0 && d.s.TellsStart && r.tries[i].wrote > 0 && !r.tries[i].started &&
 		now-r.tries[i].wrote >= d.patience {
 		// It waits there. A safe job is taken back if another has room, but for the last two attempts, as it
-		// may run on all the same.
+		// may run on all the same, and not where many are turned away: rooms are short there and it is next.
 		// Thin traffic learns of a queue only so: there a keyed job too, and all but the last attempt.
 		a := &r.tries[i]
 		if !a.waits {
@@ -654,7 +656,7 @@
 		}
 		more := d.s.MaxAttempts - i - 1
 		if (r.c.Effect == Safe && more > 1 || d.thin && r.c.Effect != Unsafe && more > 0) &&
-			d.s.CanCancel && !a.called && d.route(now, r) != nil {
+			d.s.CanCancel && !a.called && d.turned < 0.05 && d.route(now, r) != nil {
 			a.called = true
 			d.do.Cancel(r.ID, i)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -115,6 +115,7 @@
 	thin    bool               // own jobs are so small a part of all that they don't tell how full a worker is
 	bias    float64            // sizes count to this power
 	placed  float64            // share of recent jobs that found room as they came
+	turned  float64            // share of recent attempts that were turned away
 	tick    time.Duration      // between looks at what only waits
 	// patience is how long a start may take where there is room: a few times the way there and back, of which the
 	// time-out of a connection allows several.
