--- a/balance/balance.go
+++ b/balance/balance.go
@@ -337,25 +337,30 @@
 	return true
 }
 
-// Job takes a new job.
-func (d *Dispatcher) Job(now time.Duration, j Job) {
-	r := d.newRequest(now, j)
+// value sets by when an answer is in time and what it is worth.
+func (d *Dispatcher) value(r *request) {
 	// A later try has less patience left than a first one; the aim counts from the first. One with less than
 	// its aim comes rather from a client with little time: to err costs a slot, else a job's whole worth.
-	d.first[r.class] = max(d.first[r.class], j.Left)
+	d.first[r.class] = max(d.first[r.class], r.Left)
 	work := d.unit[r.class] // the aim grows by the work itself, at speed 1: the hint, where there is one
-	if j.Hint > 0 {
+	if r.Hint > 0 {
 		work = r.size
 	}
 	aim := r.c.Aim + seconds(r.c.Stretch*work)
-	if r.aim = now + aim; j.Again || !d.s.MarksRetry && j.Left >= aim {
-		r.aim -= d.first[r.class] - j.Left
+	if r.aim = r.came + aim; r.Again || !d.s.MarksRetry && r.Left >= aim {
+		r.aim -= d.first[r.class] - r.Left
 	}
 	r.aim = min(r.aim, r.end)
-	r.worth = r.c.Worth * cmp.Or(j.Weight, 1)
+	r.worth = r.c.Worth * cmp.Or(r.Weight, 1)
 	if !d.s.WorthByWork {
 		r.worth /= d.unit[r.class]
 	}
+}
+
+// Job takes a new job.
+func (d *Dispatcher) Job(now time.Duration, j Job) {
+	r := d.newRequest(now, j)
+	d.value(r)
 	if j.Left <= 3*d.s.Tick { // a last try with hardly any patience left must not wait for its timer
 		d.look(now, r)
 		d.forget(r)
--- /dev/null
+++ b/balance/handover_test.go
@@ -0,0 +1,80 @@
+package balance_test
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	. "liftgauge/balance"
+)
+
+// TestReleaseAdopt: a job that changes hands counts at its worker there as it did here, goes on where it was, and is answered once.
+func TestReleaseAdopt(t *testing.T) {
+	old, next := newHost(t, settings(), fleet(1)...), newHost(t, settings(), fleet(1)...)
+	for id := JobID(1); id <= 4; id++ { // three run, the fourth waits for room
+		old.job(id, 3)
+	}
+	if n := len(old.sentFor[4]); n != 0 {
+		t.Fatalf("%d sends of the fourth", n)
+	}
+	for id := JobID(1); id <= 4; id++ {
+		tries, ok := old.d.Release(old.now, id)
+		if again, twice := old.d.Release(old.now, id); !ok || twice || again != nil {
+			t.Fatalf("released %v, again %v", ok, twice)
+		}
+		next.d.Adopt(next.now, Job{ID: id, Class: 3, Left: 5 * time.Second, Slots: 1}, time.Second, tries)
+		if len(next.sentFor[id]) != 0 {
+			t.Errorf("job %d was sent: the worker is full of what came with it", id)
+		}
+	}
+	old.job(9, 3) // what has left leaves room here
+	if len(old.sentFor[9]) != 1 {
+		t.Error("no room after all has gone")
+	}
+	next.d.Outcome(next.now, Outcome{Job: 1, Worker: 1, Status: OK, Closed: true})
+	if len(next.sentFor[4]) != 1 {
+		t.Error("the fourth does not get the room that the first had")
+	}
+	next.d.Outcome(next.now, Outcome{Job: 2, Worker: 1, Status: Reset}) // keyed by cell, and this worker is all there is
+	next.run(next.now + 5*time.Second)
+	for id := JobID(2); id <= 4; id++ {
+		if next.answered[id] == "" {
+			t.Errorf("job %d has no answer at the end of its patience", id)
+		}
+	}
+}
+
+// TestLearn: what was learnt comes over whole; what cannot have been learnt is left aside, and nothing of it breaks a decision.
+func TestLearn(t *testing.T) {
+	old, next := newHost(t, settings(), fleet(1, 1)...), newHost(t, settings(), fleet(1, 1)...)
+	for id := JobID(1); id <= 20; id++ {
+		old.job(id, 0)
+		old.run(old.now + 70*ms)
+		old.end(id, OK)
+	}
+	l := old.d.Learned(old.now)
+	next.d.Learn(next.now, l)
+	if got := next.d.Learned(next.now); !reflect.DeepEqual(got, l) || l.Classes[0].Jobs != 20 || l.Classes[0].Unit > 0.1 {
+		t.Errorf("told %+v\ntook %+v", l, got)
+	}
+	for _, x := range []float64{math.NaN(), math.Inf(1), -1, 1e300} {
+		h := newHost(t, settings(), fleet(1, 1)...)
+		before := h.d.Learned(h.now)
+		bad := &Learned{Mean: 1, Classes: make([]LearnedClass, len(l.Classes)), Kinds: []LearnedKind{{Slots: x, Room: 1, Slow: 1}, {Room: x, Slow: 1}, {Room: 1, Slow: x}},
+			Workers: []LearnedWorker{{ID: 1, Slow: x}, {ID: 2, Slow: 1, Others: x}, {ID: 77, Slow: 1}}}
+		for i := range bad.Classes {
+			bad.Classes[i] = LearnedClass{Unit: x, Jobs: 5}
+		}
+		h.d.Learn(h.now, bad)
+		h.d.Learn(h.now, &Learned{Mean: x, Classes: l.Classes})
+		h.d.Learn(h.now, &Learned{Classes: l.Classes[1:]})
+		bad.Mean, before.Mean = 0, 0
+		if got := h.d.Learned(h.now); !reflect.DeepEqual(got.Classes, before.Classes) || !reflect.DeepEqual(got.Kinds, before.Kinds) || !reflect.DeepEqual(got.Workers, before.Workers) {
+			t.Errorf("%v was taken: %+v", x, got)
+		}
+		if h.job(1, 0); len(h.sentFor[1]) != 1 {
+			t.Errorf("%v: no send", x)
+		}
+	}
+}
--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -173,6 +173,8 @@
 	c.entered = append(c.entered, "handed over at "+time.Since(c.start).String())
 }
 
+func (c *clients) Pass() {}
+
 func (c *clients) Rest() int { return int(c.Open()) }
 
 func (c *clients) Open() int64 {
--- a/cmd/liftgauge/pulls.go
+++ b/cmd/liftgauge/pulls.go
@@ -170,4 +170,5 @@
 	b.clients.HandOver()
 	b.pulls.HandOver()
 }
+func (b both) Pass()     { b.clients.Pass() } // a Gearman client knows its job by a handle of this process
 func (b both) Rest() int { return b.clients.Rest() + b.pulls.Rest() }
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -154,7 +154,7 @@
 	}
 	sink.Owner = owner.New(owner.Config{Seen: records.seen(), Settings: module, HostRuns: own.table.HostRuns, Seed: c.Seed, Known: known.Hosts, South: hosts,
 		Inventory: list, Now: now, Queue: 4096, Log: log, Check: check,
-		Follows: n.follows, Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
+		Follows: n.follows, Lessons: n.learned, Ever: state.Listed, Offline: state.Offline, Listed: n.store.Listed})
 	var other north.Other
 	if n.peer != nil {
 		other = n.peer
@@ -270,6 +270,7 @@
 	Enter(p north.Phase)
 	Open() int64
 	HandOver()
+	Pass() // open messages to a successor
 	Rest() int
 }
 
@@ -278,6 +279,8 @@
 // Where a successor has taken over, new connections are its own from the signal on. Those that are open here close after
 // an answer, and the idle ones late: a client that has just written to one would have to send again.
 //
+// What is open goes over to the successor with its connection, now or at a later tick.
+//
 // What is still open when the program may be killed soon is concluded: a class may be more patient than a planned end.
 func leave(signalled, run context.Context, clients leaver, succeeded func() bool, conclude func(), log *slog.Logger) {
 	select {
@@ -302,6 +305,7 @@
 		}
 		switch since := time.Since(start); {
 		case handing:
+			clients.Pass()
 			if since >= overlap && clients.Rest() == 0 && clients.Open() == 0 {
 				log.Info("left")
 				return
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -5,12 +5,16 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"liftgauge/balance"
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
 	"liftgauge/internal/handover"
@@ -32,8 +36,9 @@
 	bytes   *budget.Budget
 	pulls   *pulls // nil where Gearman is off
 	log     *slog.Logger
-	follows bool        // its list is that of a process before it
-	started atomic.Bool // it takes clients, and the process before knows
+	follows bool             // its list is that of a process before it
+	learned *balance.Learned // what that one had learnt, or nil
+	started atomic.Bool      // it takes clients, and the process before knows
 
 	calls sync.Mutex // operators' calls that change something go one after another
 }
@@ -71,6 +76,12 @@
 	} else {
 		known, n.follows = list, true
 	}
+	var learned balance.Learned
+	if err := cbor.Unmarshal(told.Learned, &learned); err != nil {
+		log.Warn("what the process before had learnt is not taken", "err", err)
+	} else {
+		n.learned = &learned
+	}
 	log.Info("following", "discovery", c.Discovery, "hosts", len(known.Hosts), "revision", known.Revision, "offline", len(told.Offline))
 	return n, known
 }
@@ -86,13 +97,24 @@
 	if err != nil {
 		return handover.Snapshot{}, err
 	}
+	learned, err := n.owner.Learned(ctx)
+	if err != nil {
+		return handover.Snapshot{}, err
+	}
+	lessons, err := cbor.Marshal(learned)
+	if err != nil {
+		n.log.Warn("what was learnt is not handed on", "err", err)
+	}
 	decoder := inventory.Decoder{Zones: n.c.Zones, Kinds: n.c.Kinds}
-	return handover.Snapshot{Ready: true, Discovery: address, State: n.store.State(),
+	return handover.Snapshot{Ready: true, Learned: lessons, Discovery: address, State: n.store.State(),
 		List: decoder.Encode(inventory.List{Revision: revision, Complete: true, Hosts: hosts})}, nil
 }
 
 // Callback deals with a host's call that came to the other process.
-func (n *node) Callback(body []byte) int { return n.clients.Callback(body) }
+func (n *node) Callback(body []byte) (status int, known bool) { return n.clients.Callback(body) }
+
+// Adopt takes over a message of the other process.
+func (n *node) Adopt(record []byte, client net.Conn) bool { return n.clients.Adopt(record, client) }
 
 // Offline carries out an operators' call that came to the other process.
 func (n *node) Offline(ctx context.Context, id string, out, sure bool) (bool, error) {
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -32,6 +32,7 @@
 	Ready     bool   // it takes clients
 	Discovery string // the address that counts
 	List      []byte // the inventory in discovery's form
+	Learned   []byte // what the module has learnt, as package node encodes it; may be empty
 	State
 }
 
@@ -39,8 +40,10 @@
 type Handler interface {
 	// Snapshot is told to a successor.
 	Snapshot(ctx context.Context) (Snapshot, error)
-	// Callback deals with a host's call that came to the other process, and returns the status of the answer.
-	Callback(body []byte) (status int)
+	// Known says whether its message is open here.
+	Callback(body []byte) (status int, known bool)
+	// Adopt takes over a message and the connection on which its client waits, which is closed if it does not.
+	Adopt(record []byte, client net.Conn) (taken bool)
 	// Offline carries out an operators' call. Sure says that the other knows the host.
 	Offline(ctx context.Context, id string, out, sure bool) (known bool, err error)
 	// Share begins or ends the time in which two processes have what one may use.
@@ -168,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Snapshot{Ready: o.Flag("ready"), Discovery: o.Text("discovery"), List: o.Raw("list"),
+	s := &Snapshot{Ready: o.Flag("ready"), Discovery: o.Text("discovery"), List: o.Raw("list"), Learned: []byte(o.Text("learned")),
 		State: State{Offline: o.Texts("offline"), Listed: o.Texts("listed")}}
 	return s, o.Err()
 }
@@ -200,14 +203,61 @@
 }
 
 // Callback hands a host's call to the other process.
-func (p *Peer) Callback(body []byte) (status int, err error) {
+func (p *Peer) Callback(body []byte) (status int, known bool, err error) {
 	o, err := p.ask(jsonval.Is("op", "callback"), jsonval.Is("body", string(body)))
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
-	return int(o.Whole("status")), o.Err()
+	return int(o.Whole("status")), o.Flag("known"), o.Err()
 }
 
+// Pass hands a client's connection to the successor, with the record of the message that waits there. The record is made once the
+// successor listens: until then nothing has changed. Taken says that the message is the successor's. Where it took the record and said
+// nothing, it may be: then nobody here may answer, and the error is nil.
+func (p *Peer) Pass(client net.Conn, record func() ([]byte, bool)) (taken bool, err error) {
+	raw, ok := client.(syscall.Conn)
+	if !ok {
+		return false, errors.New("handover: no connection that can be passed on")
+	}
+	rights, err := raw.SyscallConn()
+	if err != nil {
+		return false, fmt.Errorf("handover: %w", err)
+	}
+	c, done, err := p.call()
+	if err != nil {
+		return false, err
+	}
+	defer done()
+	body, ok := record()
+	if !ok {
+		return false, errNotNow
+	}
+	c.SetDeadline(time.Now().Add(p.helloWithin)) // from here on it must be known how it ends
+	line := append(jsonval.AppendObject(nil, jsonval.Is("op", "message"), jsonval.Is("record", string(body))), '\n')
+	var sent int
+	if held := rights.Control(func(fd uintptr) {
+		sent, _, err = c.(*net.UnixConn).WriteMsgUnix(line, syscall.UnixRights(int(fd)), nil)
+	}); held != nil {
+		return false, fmt.Errorf("handover: %w", held)
+	}
+	for err == nil && sent < len(line) { // the descriptor went with the first bytes
+		var n int
+		n, err = c.Write(line[sent:])
+		sent += n
+	}
+	if err != nil { // without its end nobody reads the line
+		return false, fmt.Errorf("handover: %w", err)
+	}
+	o, err := readLine(bufio.NewReader(c))
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return false, fmt.Errorf("handover: %w", err) // it answers while it lives
+	}
+	return err != nil || o.Flag("taken"), nil
+}
+
+// errNotNow says that a message could not be let go of at this moment.
+var errNotNow = errors.New("handover: not now")
+
 // Offline has the other process carry out an operators' call.
 func (p *Peer) Offline(id string, out, sure bool) (known bool, err error) {
 	o, err := p.ask(jsonval.Is("op", "offline"), jsonval.Is("id", id), jsonval.Is("out", out), jsonval.Is("sure", sure))
@@ -220,35 +270,46 @@
 	return o.Flag("known"), o.Err()
 }
 
-// ask puts one question on a connection of its own.
-func (p *Peer) ask(question ...jsonval.Member) (jsonval.Object, error) {
-	var none jsonval.Object
+// call connects to the other process for one question, within askWithin for all of it.
+func (p *Peer) call() (c net.Conn, done func(), err error) {
 	p.mu.Lock()
 	l := p.other
 	p.mu.Unlock()
 	if l == nil {
-		return none, owner.ErrNobody
+		return nil, nil, owner.ErrNobody
 	}
 	ctx, stop := context.WithTimeout(context.Background(), p.askWithin)
 	defer stop()
 	select {
 	case p.asks <- struct{}{}:
-		defer func() { <-p.asks }()
 	case <-ctx.Done():
-		return none, fmt.Errorf("handover: %w", ctx.Err())
-	}
-	c, err := p.dial(ctx, l.socket)
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, os.ErrNotExist) {
-		return none, owner.ErrNobody
+		return nil, nil, fmt.Errorf("handover: %w", ctx.Err())
 	}
+	c, err = p.dial(ctx, l.socket)
 	if err != nil {
-		return none, fmt.Errorf("handover: %w", err)
+		<-p.asks
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, os.ErrNotExist) {
+			return nil, nil, owner.ErrNobody
+		}
+		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
-	defer c.Close()
 	at, _ := ctx.Deadline()
 	c.SetDeadline(at)
+	return c, func() {
+		c.Close()
+		<-p.asks
+	}, nil
+}
+
+// ask puts one question on a connection of its own.
+func (p *Peer) ask(question ...jsonval.Member) (jsonval.Object, error) {
+	c, done, err := p.call()
+	if err != nil {
+		return jsonval.Object{}, err
+	}
+	defer done()
 	if err := writeLine(c, question...); err != nil {
-		return none, fmt.Errorf("handover: %w", err)
+		return jsonval.Object{}, fmt.Errorf("handover: %w", err)
 	}
 	return readLine(bufio.NewReader(c))
 }
@@ -356,7 +417,9 @@
 // answer reads one question and answers it. One that is a successor's first becomes the link.
 func (p *Peer) answer(ctx context.Context, c net.Conn) {
 	c.SetDeadline(time.Now().Add(p.helloWithin))
-	r := bufio.NewReader(c)
+	came := &descriptors{Conn: c}
+	defer came.close()
+	r := bufio.NewReader(came)
 	o, err := readLine(r)
 	if err != nil {
 		p.drop(c)
@@ -378,7 +441,7 @@
 			p.watch(l)
 			return
 		}
-		if err := writeLine(c, jsonval.Is("ready", true), jsonval.Is("discovery", s.Discovery), jsonval.Is("list", s.List),
+		if err := writeLine(c, jsonval.Is("ready", true), jsonval.Is("discovery", s.Discovery), jsonval.Is("list", s.List), jsonval.Is("learned", string(s.Learned)),
 			jsonval.Is("offline", s.Offline), jsonval.Is("listed", s.Listed)); err == nil {
 			c.SetDeadline(time.Time{})
 		}
@@ -390,7 +453,14 @@
 			reply = append(reply, jsonval.Is("done", true))
 		}
 	case "callback":
-		reply = append(reply, jsonval.Is("status", p.Handler.Callback([]byte(o.Text("body")))))
+		status, known := p.Handler.Callback([]byte(o.Text("body")))
+		reply = append(reply, jsonval.Is("status", status), jsonval.Is("known", known))
+	case "message":
+		taken := false
+		if client := came.take(); client != nil {
+			taken = p.Handler.Adopt([]byte(o.Text("record")), client)
+		}
+		reply = append(reply, jsonval.Is("taken", taken))
 	case "offline":
 		known, err := p.Handler.Offline(asking, o.Text("id"), o.Flag("out"), o.Flag("sure"))
 		reply = append(reply, jsonval.Is("known", known), jsonval.Is("done", err == nil))
--- a/internal/handover/peer_test.go
+++ b/internal/handover/peer_test.go
@@ -23,6 +23,7 @@
 	ready  bool
 	known  map[string]bool // hosts, and whether they are out
 	bodies []string
+	adopt  func(record []byte, client net.Conn) bool
 	mu     sync.Mutex
 	shares chan bool
 	stop   context.CancelFunc
@@ -31,14 +32,47 @@
 }
 
 func (p *process) Snapshot(context.Context) (Snapshot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return Snapshot{Ready: p.ready, Discovery: "127.0.0.1:1", List: []byte(`{"revision":7,"members":[]}`), State: State{Offline: []string{"s-1"}, Listed: []string{"s-1", "s-2"}}}, nil
 }
 
-func (p *process) Callback(body []byte) int {
+func (p *process) Adopt(record []byte, client net.Conn) bool {
+	p.mu.Lock()
+	adopt := p.adopt
+	p.mu.Unlock()
+	if adopt == nil {
+		client.Close()
+		return false
+	}
+	return adopt(record, client)
+}
+
+// heard is all call-backs that came, and isOut whether a host is.
+func (p *process) heard() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.bodies, "|")
+}
+
+func (p *process) isOut(host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[host]
+}
+
+// adopts sets what the process does with a message that is passed to it.
+func (p *process) adopts(f func(record []byte, client net.Conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.adopt = f
+}
+
+func (p *process) Callback(body []byte) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.bodies = append(p.bodies, string(body))
-	return 204
+	return 204, true
 }
 
 func (p *process) Offline(_ context.Context, id string, out, sure bool) (bool, error) {
@@ -110,7 +144,7 @@
 		if all, _ := f.sockets(); len(all) != 1 {
 			t.Errorf("sockets %v: the stale one is still there", all)
 		}
-		if _, err := old.Peer.Callback(nil); !errors.Is(err, owner.ErrNobody) {
+		if _, _, err := old.Peer.Callback(nil); !errors.Is(err, owner.ErrNobody) {
 			t.Errorf("asked nobody: %v", err)
 		}
 		next := start(t, dir)
@@ -129,8 +163,8 @@
 		}
 		for _, way := range []struct{ from, to *process }{{old, next}, {next, old}} {
 			body := "{\"id\":\"\\u0000\xff\n\"}"
-			if status, err := way.from.Peer.Callback([]byte(body)); status != 204 || err != nil || len(way.to.bodies) != 1 || way.to.bodies[0] != body {
-				t.Errorf("call-back: %d, %v, %q", status, err, way.to.bodies)
+			if status, known, err := way.from.Peer.Callback([]byte(body)); status != 204 || !known || err != nil || way.to.heard() != body {
+				t.Errorf("call-back: %d, %v, %q", status, err, way.to.heard())
 			}
 			for _, c := range []struct {
 				id   string
@@ -139,7 +173,7 @@
 				err  bool
 			}{{"s-1", false, true, false}, {"s-9", false, false, false}, {"s-8", true, true, false}, {"s-stuck", false, false, true}} {
 				known, err := way.from.Peer.Offline(c.id, true, c.sure)
-				if known != c.want || (err != nil) != c.err || way.to.known[c.id] != c.want {
+				if known != c.want || (err != nil) != c.err || way.to.isOut(c.id) != c.want {
 					t.Errorf("%s: known %v, %v", c.id, known, err)
 				}
 			}
@@ -156,7 +190,7 @@
 		if <-third.shares || third.Live() {
 			t.Error("the end of the old process is not seen")
 		}
-		if _, err := third.Peer.Callback(nil); !errors.Is(err, owner.ErrNobody) {
+		if _, _, err := third.Peer.Callback(nil); !errors.Is(err, owner.ErrNobody) {
 			t.Errorf("asked one that has ended: %v", err)
 		}
 		third.end()
@@ -176,7 +210,9 @@
 		t.Fatal(err)
 	}
 	old := start(t, dir)
+	old.mu.Lock()
 	old.ready = false
+	old.mu.Unlock()
 	if next := start(t, dir); next.told != nil || next.Live() {
 		t.Errorf("told %+v", next.told)
 	}
@@ -222,7 +258,7 @@
 		c.Write(in)
 		c.(*net.UnixConn).CloseWrite()
 		defer c.Close()
-		if status, err := next.Peer.Callback([]byte("x")); status != 204 && old.Live() {
+		if status, _, err := next.Peer.Callback([]byte("x")); status != 204 && old.Live() {
 			t.Errorf("%d, %v", status, err)
 		}
 	})
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -22,6 +22,8 @@
 	peeked chan error // the one read that is under way, if any: of the first byte of the next request
 	buf    []byte
 
+	pass chan struct{} // asks the goroutine to pass the connection on to a successor, if it waits for an answer
+
 	// Guarded by the server's lock.
 	idle, closed bool
 	since        time.Duration // when it became idle
@@ -29,7 +31,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	return &conn{Conn: raw, s: s, r: http1.NewReader(raw), idle: true, since: s.Now()}
+	return &conn{Conn: raw, s: s, r: http1.NewReader(raw), pass: make(chan struct{}, 1), idle: true, since: s.Now()}
 }
 
 // shut ends a connection from outside its goroutine, under the server's lock.
@@ -168,7 +170,8 @@
 		return false, err
 	}
 	// An answer to HEAD would have no body, which no answer here knows of: such a connection ends.
-	last := head.Close || full || c.s.at() >= Closing || head.Method == "HEAD"
+	ends := head.Close || full || head.Method == "HEAD"
+	last := ends || c.s.at() >= Closing
 	if head.Path == "/-/ready" || head.Path == "/callback" {
 		want := "GET"
 		if head.Path == "/callback" {
@@ -220,7 +223,7 @@
 		m.Payload = c.s.Wrap(m.Job.Class, call)
 	}
 	c.s.arrive(m) // a request counts from its last byte
-	return c.await(m, hold, last, full), nil
+	return c.await(m, hold, ends, full), nil
 }
 
 // callback reads a host's call and deals with it.
@@ -250,7 +253,18 @@
 	c.s.open.Add(1)
 	defer c.s.open.Add(-1)
 	c.s.taken.Add(1)
-	class := m.Job.Class
+	reply := c.expect(m, hold)
+	// What is turned away here has reached no host: trying again is harmless.
+	if full || c.s.at() >= Ending || !c.s.Desk.Submit(m) {
+		hold.Drop()
+		c.s.end(m.Job.Class, declined)
+		return c.finish(503, last || c.s.at() >= Closing, nil, nil)
+	}
+	return c.wait(m, reply, last)
+}
+
+// expect has the answer of a message come by a channel.
+func (c *conn) expect(m *owner.Message, hold *budget.Hold) <-chan owner.Answer {
 	reply := make(chan owner.Answer, 1)
 	m.Reply = func(a owner.Answer) {
 		hold.Grow(c.s.resulted(len(a.Result)))
@@ -258,11 +272,15 @@
 	}
 	hold.Share()
 	m.Settled = hold.Drop
-	// What is turned away here has reached no host: trying again is harmless.
-	if full || c.s.at() >= Ending || !c.s.Desk.Submit(m) {
-		hold.Drop()
-		c.s.end(class, declined)
-		return c.finish(503, last, nil, nil)
+	return reply
+}
+
+// wait answers a message that is handed in, or hands its connection on.
+func (c *conn) wait(m *owner.Message, reply <-chan owner.Answer, last bool) bool {
+	class := m.Job.Class
+	select { // of a message before
+	case <-c.pass:
+	default:
 	}
 	gone := c.peek()
 	for {
@@ -277,6 +295,14 @@
 		case <-c.s.ended: // the program ends without waiting for answers
 			c.s.end(class, aborted)
 			return false
+		case <-c.pass:
+			if gone == nil { // more has come already and is read here: the successor would not see it
+				continue
+			}
+			if c.handOn(m, gone, last) {
+				return false
+			}
+			gone = c.peek()
 		case err := <-gone:
 			if err != nil {
 				c.s.Desk.Gone(m)
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -83,7 +83,7 @@
 // arrive notes that all of a message has come.
 func (s *Server) arrive(m *owner.Message) {
 	m.Arrived = s.Now()
-	if s.Ending() { // the program may be killed soon after: what it has not answered by then would be lost
+	if s.Ending() && !s.passes() { // the program may be killed soon after: what it has not answered by then would be lost
 		m.Job.Left = min(m.Job.Left, max(0, time.Duration(s.last.Load())-m.Arrived))
 	}
 	m.Job.Left = s.drain.left(m.Arrived, m.Job.Left)
@@ -150,7 +150,10 @@
 	if status != 204 || known || !other {
 		return status, reason
 	}
-	switch status, err := s.Other.Callback(body); {
+	switch status, there, err := s.Other.Callback(body); {
+	case err == nil && status == 204 && !there: // the message may have come here while the other looked
+		status, _, reason = s.report(body, false, hold)
+		return status, reason
 	case err == nil:
 		return status, nil
 	case errors.Is(err, owner.ErrNobody): // it has ended, and with it its messages: a late word, for nobody
@@ -162,9 +165,9 @@
 }
 
 // Callback deals with a host's call that came to another process at the same address.
-func (s *Server) Callback(body []byte) (status int) {
-	status, _, _ = s.report(body, true, nil)
-	return status
+func (s *Server) Callback(body []byte) (status int, known bool) {
+	status, known, _ = s.report(body, true, nil)
+	return status, known
 }
 
 // report hands a call-back to the owner, who has a share in what it holds until the word is dealt with. Where it waits, known
@@ -180,25 +183,30 @@
 		s.Log.Warn("malformed call-back", "err", err)
 		return 400, false, []byte(err.Error() + "\n")
 	}
-	var told chan bool
-	var tell func(bool)
+	wait = wait || s.left()
+	var told chan owner.Standing
+	var tell func(owner.Standing)
 	if wait {
-		told = make(chan bool, 1)
-		tell = func(known bool) { told <- known }
+		told = make(chan owner.Standing, 1)
+		tell = func(standing owner.Standing) { told <- standing }
 	}
 	hold.Share()
 	if !s.Desk.Reported(report, tell, hold.Drop) {
 		hold.Drop()
 		return 503, false, nil // the host says it again
 	}
-	if wait {
-		select {
-		case known = <-told:
-		case <-s.ended:
+	if !wait {
+		return 204, false, nil
+	}
+	select {
+	case standing := <-told:
+		if standing == owner.Moving { // the host says it again, to whoever has the message then
 			return 503, false, nil
 		}
+		return 204, standing == owner.Here, nil
+	case <-s.ended:
+		return 503, false, nil
 	}
-	return 204, known, nil
 }
 
 // parseReport reads a call-back.
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -36,14 +36,22 @@
 type Desk interface {
 	Submit(m *owner.Message) bool
 	Gone(m *owner.Message)
-	Reported(r owner.Report, known func(bool), settled func()) bool
+	Reported(r owner.Report, known func(owner.Standing), settled func()) bool
+
+	// Between two processes, as Owner has them.
+	Release(ctx context.Context, m *owner.Message) (past owner.Past, ok bool)
+	Moved(m *owner.Message, past owner.Past, taken bool)
+	Adopt(ctx context.Context, m *owner.Message, past owner.Past) bool
 }
 
 // Other is another process at the same address: a call-back may come to either.
 type Other interface {
 	Live() bool
-	// Callback has the other deal with a call-back, and returns the status that answers it.
-	Callback(body []byte) (status int, err error)
+	// Callback has the other deal with a call-back, and returns the status that answers it and whether its message was open there.
+	Callback(body []byte) (status int, known bool, err error)
+	// Pass hands a client's connection and the record of the message that waits there to a successor. The record is asked for once;
+	// false says that it cannot be made now.
+	Pass(client net.Conn, record func() ([]byte, bool)) (taken bool, err error)
 }
 
 // Config is what a Server needs.
@@ -98,7 +106,8 @@
 	limit    atomic.Int64  // of connections; at most MaxConns
 	reserved int           // slots taken for what the limit leaves out; guarded by the lock
 	handed   chan struct{} // closed when the listener is left to another process
-	listener net.Listener  // guarded by the lock
+	group    errgroup.Group
+	listener net.Listener // guarded by the lock
 
 	parsers sync.Pool    // of call-backs
 	result  atomic.Int64 // the size that results have had lately, rather more
@@ -191,13 +200,17 @@
 
 // Run accepts connections until the context ends, then closes all that are left.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	var conns errgroup.Group
+	conns := &s.group
+	conns.Go(func() error { // so that a connection may join for as long as the server runs
+		<-s.ended
+		return nil
+	})
 	defer context.AfterFunc(ctx, func() {
 		l.Close()
-		close(s.ended)
-		s.stop()
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		close(s.ended)
+		s.stop()
 		for c := range s.conns {
 			c.shut()
 		}
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,10 @@
 	taken   []*owner.Message
 	gone    int
 	reports []owner.Report
+
+	moving           bool // what a call-back names is on its way
+	releases, adopts bool // messages between processes
+	moved            []bool
 }
 
 // pipes is a listener whose connections are pipes.
@@ -48,9 +53,23 @@
 	return nil, net.ErrClosed
 }
 
+// shared is a connection that another process may have too: it ends when both have closed it.
+type shared struct {
+	net.Conn
+	more atomic.Int32
+}
+
+func (s *shared) Close() error {
+	if s.more.Add(-1) >= 0 {
+		return nil
+	}
+	return s.Conn.Close()
+}
+
 // client is one connection as its client sees it.
 type client struct {
 	net.Conn
+	served  net.Conn // the server's end
 	answers []string // status and body
 	closed  bool
 	idle    time.Duration
@@ -90,7 +109,7 @@
 	w.gone++
 }
 
-func (w *world) Reported(r owner.Report, known func(bool), settled func()) bool {
+func (w *world) Reported(r owner.Report, known func(owner.Standing), settled func()) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.full {
@@ -100,16 +119,46 @@
 		defer settled()
 	}
 	if known != nil {
-		known(!w.foreign)
+		switch {
+		case w.moving:
+			known(owner.Moving)
+			return true
+		case w.foreign:
+			known(owner.Unknown)
+		default:
+			known(owner.Here)
+		}
 	}
 	w.reports = append(w.reports, r)
 	return true
 }
 
+func (w *world) Release(_ context.Context, m *owner.Message) (owner.Past, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return owner.Past{Job: m.Job, Ago: time.Second}, w.releases
+}
+
+func (w *world) Moved(m *owner.Message, _ owner.Past, taken bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moved = append(w.moved, taken); taken {
+		m.Settled()
+	}
+}
+
+func (w *world) Adopt(_ context.Context, m *owner.Message, past owner.Past) bool {
+	m.Job = past.Job
+	w.mu.Lock()
+	adopts := w.adopts
+	w.mu.Unlock()
+	return adopts && w.Submit(m)
+}
+
 func (w *world) dial() *client {
 	near, far := net.Pipe()
-	w.l.calls <- far
-	c := &client{Conn: near}
+	c := &client{Conn: near, served: far}
+	w.l.calls <- &shared{Conn: far}
 	go func() {
 		r := http1.NewReader(near)
 		for {
@@ -145,20 +194,23 @@
 }
 
 func within(t *testing.T, conns int, test func(*world)) {
-	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, l: pipes{make(chan net.Conn)}}
-		limit := []balance.Class{{Limit: 5 * time.Second}, {Limit: 5 * time.Second}}
-		w.s = New(Config{Desk: w, Classes: []string{"gauge-reading", "send-warning"}, Limits: limit, MaxConns: conns, LastAnswer: 3 * time.Second,
-			Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { w.s.Run(ctx, w.l); close(done) }()
-		w.client = w.dial()
-		test(w)
-		stop()
-		<-done
-		time.Sleep(time.Second) // answers that nobody waits for any more
-	})
+	synctest.Test(t, func(t *testing.T) { serve(t, conns, test) })
+}
+
+// serve runs a test with a server inside a bubble.
+func serve(t *testing.T, conns int, test func(*world)) {
+	w := &world{t: t, l: pipes{make(chan net.Conn)}}
+	limit := []balance.Class{{Limit: 5 * time.Second}, {Limit: 5 * time.Second}}
+	w.s = New(Config{Desk: w, Classes: []string{"gauge-reading", "send-warning"}, Limits: limit, MaxConns: conns, LastAnswer: 3 * time.Second,
+		Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { w.s.Run(ctx, w.l); close(done) }()
+	w.client = w.dial()
+	test(w)
+	stop()
+	<-done
+	time.Sleep(time.Second) // answers that nobody waits for any more
 }
 
 const (
@@ -481,14 +533,25 @@
 type other struct {
 	live   bool
 	status int
+	known  bool
 	err    error
 	bodies []string
+	next   *Server // where messages are passed to
+	asked  int
 }
 
 func (o *other) Live() bool { return o.live }
-func (o *other) Callback(body []byte) (int, error) {
+func (o *other) Pass(client net.Conn, record func() ([]byte, bool)) (bool, error) {
+	o.asked++
+	if text, ok := record(); ok && o.next != nil {
+		client.(*shared).more.Add(1)
+		return o.next.Adopt(text, client), nil
+	}
+	return false, nil
+}
+func (o *other) Callback(body []byte) (int, bool, error) {
 	o.bodies = append(o.bodies, string(body))
-	return o.status, o.err
+	return o.status, o.known, o.err
 }
 
 // TestCallbackElsewhere: a call-back for an unknown message goes to the other process while there is one, and is not
@@ -514,7 +577,7 @@
 				t.Errorf("%+v: asked %q", c, c.other.bodies)
 			}
 			w.play(step{send: callback("{}"), want: "400 id: want a name"}, 0)
-			if status := w.s.Callback([]byte(report)); status != 204 || len(c.other.bodies) != c.asked {
+			if status, _ := w.s.Callback([]byte(report)); status != 204 || len(c.other.bodies) != c.asked {
 				t.Errorf("from the other: %d, asked %q", status, c.other.bodies)
 			}
 		})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -87,7 +87,8 @@
 	number int
 	sent   time.Duration
 	over   bool
-	back   bool // the host handed it back by a report
+	back   bool        // the host handed it back by a report
+	taken  atomic.Bool // see Taken
 	stop   context.CancelCauseFunc
 	host   *host
 	barred atomic.Bool
@@ -112,6 +113,7 @@
 var (
 	ErrWithdrawn = errors.New("withdrawn")        // the host is to be told to give it up
 	ErrSettled   = errors.New("outcome is known") // nothing is left to do
+	ErrReleased  = errors.New("another's now")    // the same: another process of the dispatcher has taken the message over
 )
 
 // South carries attempts to the hosts.
@@ -154,6 +156,7 @@
 	HostRuns func(kind int) []bool
 
 	Follows bool                // Known is fresh: a process that this one takes over from had it
+	Lessons *balance.Learned    // what that process had learnt; may be nil
 	Ever    []string            // names that were listed before, in earlier processes too
 	Offline []string            // of these, hosts that operators have left out
 	Listed  func(name []string) // if set, told of names that were never listed before; must not block
@@ -213,6 +216,7 @@
 	jobs    map[balance.JobID]*open
 	keys    map[string]*open
 	hosts   map[balance.WorkerID]*host
+	moving  map[string]*open // released, and not yet another process's
 	ids     names
 	ever    map[string]bool // the names that were listed at any time
 	last    balance.JobID
@@ -243,7 +247,7 @@
 // New returns an Owner; Run starts the module.
 func New(c Config) *Owner {
 	return &Owner{Config: c, queue: make(chan event, max(c.Queue, 1)), lane: make(chan event), stopped: make(chan struct{}),
-		jobs: map[balance.JobID]*open{}, keys: map[string]*open{}, hosts: map[balance.WorkerID]*host{},
+		jobs: map[balance.JobID]*open{}, keys: map[string]*open{}, moving: map[string]*open{}, hosts: map[balance.WorkerID]*host{},
 		ids: names{}, ever: map[string]bool{}}
 }
 
@@ -266,6 +270,9 @@
 	}
 	o.module.Start(now)
 	o.list(now, balance.ListCached, o.Known)
+	if o.Lessons != nil {
+		o.module.Learn(now, o.Lessons)
+	}
 	o.wheel.Add(now+showEvery, timer{show: true})
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
@@ -469,16 +476,33 @@
 	Load      []float32 // of the host, in the settings' order; nil: it reported none
 }
 
+// Standing is where a message is that a host speaks of.
+type Standing int
+
+// Where it is.
+const (
+	Unknown Standing = iota // not open here
+	Here
+	Moving // on its way to another process: the host has to say it again
+)
+
 // Reported takes a host's word. False says that the queue is full; the host will say it again. Else known, if it is
-// set, is told whether the message is open here, and settled, if it is set, once the word is dealt with; neither may
-// block.
-func (o *Owner) Reported(r Report, known func(bool), settled func()) bool {
+// set, is told where the message is, and settled, if it is set, once the word is dealt with; neither may block.
+func (o *Owner) Reported(r Report, known func(Standing), settled func()) bool {
 	return o.offer(func(now time.Duration) {
 		if settled != nil {
 			defer settled()
 		}
 		if known != nil {
-			known(o.keys[r.Key] != nil)
+			switch {
+			case o.keys[r.Key] != nil:
+				known(Here)
+			case o.moving[r.Key] != nil:
+				known(Moving)
+				return
+			default:
+				known(Unknown)
+			}
 		}
 		o.reported(now, r)
 	})
@@ -574,7 +598,7 @@
 }
 
 func (o *Owner) take(now time.Duration, m *Message) {
-	if o.keys[m.Key] != nil {
+	if o.keys[m.Key] != nil || o.moving[m.Key] != nil {
 		// The same id twice at once: the first may be running, so this one is neither run nor called harmless.
 		m.Reply(Answer{Kind: Failed})
 		if m.Settled != nil {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -42,7 +42,8 @@
 // bench holds an Owner with sides that only note what is asked of them.
 type bench struct {
 	t        *testing.T
-	o        *Owner
+	o        *Owner    // that takes messages
+	both     [2]*Owner // and the one that they may move to, or come from
 	sends    []*sent
 	watches  int
 	messages []*message
@@ -66,6 +67,7 @@
 
 type sent struct {
 	a    *Attempt
+	o    *Owner // whose it is now
 	ctx  context.Context
 	end  bool
 	may  bool // it may have run
@@ -92,9 +94,26 @@
 	gone    bool
 }
 
-func (b *bench) Send(ctx context.Context, a *Attempt) {
-	b.note(func() { b.sends = append(b.sends, &sent{a: a, ctx: ctx}) })
+// side is the south side of one of the two.
+type side struct {
+	*bench
+	n int
 }
+
+func (b side) Send(ctx context.Context, a *Attempt) {
+	b.note(func() { b.sends = append(b.sends, &sent{a: a, ctx: ctx, o: b.both[b.n]}) })
+}
+
+func (b side) Resume(ctx context.Context, a *Attempt) {
+	b.note(func() {
+		for _, s := range b.sends {
+			if s.a.Message == a.Message && s.a.Host.Name == a.Host.Name && !s.end {
+				s.a, s.ctx, s.o = a, ctx, b.both[b.n]
+			}
+		}
+	})
+}
+
 func (b *bench) Probe(Host)  {}
 func (b *bench) Forget(Host) {}
 func (b *bench) Watch()      { b.note(func() { b.watches++ }) }
@@ -107,11 +126,14 @@
 	for i := range 4 {
 		known = append(known, testHost(i, balance.Ready))
 	}
-	b.o = New(Config{Settings: testSettings(), Seed: 7, Known: known, South: b, Inventory: b, Queue: 64, Log: log,
-		Check: &invariant.Checker{}, Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
 	ctx, stop := context.WithCancel(t.Context())
 	b.stop = stop
-	go b.o.Run(ctx)
+	for i := range b.both {
+		b.both[i] = New(Config{Settings: testSettings(), Seed: 7, Known: known, South: side{b, i}, Inventory: b, Queue: 64, Log: log,
+			Check: &invariant.Checker{}, Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
+		go b.both[i].Run(ctx)
+	}
+	b.o = b.both[0]
 	synctest.Wait()
 	return b
 }
@@ -131,15 +153,32 @@
 }
 
 func (b *bench) report(s *sent, state State, result string) {
-	b.o.Reported(Report{Key: s.a.Message.Key, From: s.a.Host.Name, State: state, Result: []byte(result)}, nil, nil)
+	for _, o := range b.both { // one of the two knows the message, if it is open
+		o.Reported(Report{Key: s.a.Message.Key, From: s.a.Host.Name, State: state, Result: []byte(result)}, nil, nil)
+	}
 	synctest.Wait()
 }
 
 func (b *bench) ended(s *sent, status balance.Status) {
-	b.o.Ended(s.a, status)
+	s.o.Ended(s.a, status)
 	synctest.Wait()
 }
 
+// move has the other one take over a message, or say that it does not.
+func (b *bench) move(m *message, takes bool) (moved bool) {
+	for i, o := range b.both {
+		past, ok := o.Release(b.t.Context(), m.m)
+		if !ok {
+			continue
+		}
+		moved = takes && b.both[1-i].Adopt(b.t.Context(), m.m, past)
+		o.Moved(m.m, past, moved)
+		synctest.Wait()
+		return moved
+	}
+	return false
+}
+
 func within(t *testing.T, test func(*testing.T, *bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
@@ -260,7 +299,7 @@
 		b := &bench{t: t}
 		var listed []string
 		b.o = New(Config{Settings: testSettings(), Seed: 7, Known: []Host{testHost(0, balance.Ready), testHost(1, balance.Ready)},
-			South: b, Inventory: b, Queue: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Check: &invariant.Checker{},
+			South: side{b, 0}, Inventory: b, Queue: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Check: &invariant.Checker{},
 			Ever: []string{"s-old"}, Offline: []string{testHost(0, balance.Ready).Name}, Listed: func(names []string) { listed = append(listed, names...) },
 			Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
 		ctx, stop := context.WithCancel(t.Context())
@@ -290,7 +329,7 @@
 			b := &bench{t: t}
 			settings := testSettings()
 			settings.Dispatchers = 48
-			b.o = New(Config{Settings: settings, Seed: 7, Follows: follows, South: b, Inventory: b, Queue: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			b.o = New(Config{Settings: settings, Seed: 7, Follows: follows, South: side{b, 0}, Inventory: b, Queue: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 				Check: &invariant.Checker{}, Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
 			ctx, stop := context.WithCancel(t.Context())
 			go b.o.Run(ctx)
@@ -406,11 +445,12 @@
 }
 
 // FuzzOwner plays random steps of clients, hosts, the inventory and time, and checks the rules against a model of its
-// own: one answer for each message, in time; a back-off answer and a further unsafe send only where nothing may have
+// own, over two owners between which messages move: one answer for each message, in time; a back-off answer and a further unsafe send only where nothing may have
 // run; one attempt of a message at a host; nothing to a host that drains.
 func FuzzOwner(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
 	f.Add([]byte("0000warning boxes and gauges0000\xff\xfe\xfd7777"))
+	f.Add([]byte{0, 8, 16, 24, 2, 10, 18, 7 + 8, 3, 11, 15, 6 + 8*9, 0, 8, 7 + 24, 2, 10, 7 + 56, 1, 9, 4, 12, 7 + 8, 6 + 8*20, 4, 7 + 24})
 	f.Add([]byte{0, 16, 0, 24, 8, 2, 2, 10, 18, 3, 3, 5, 13, 21, 6, 14, 4, 12, 20, 28, 7, 15, 23, 31})
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		within(t, func(t *testing.T, b *bench) { play(t, b, steps[:min(len(steps), 200)]) })
@@ -438,6 +478,7 @@
 			s.end = true
 			b.ended(s, status)
 		case op == 2 && s != nil:
+			s.a.Taken()
 			b.report(s, Started, "")
 		case op == 3 && s != nil:
 			state := []State{Done, Broken, Returned, Lost, Progress}[n%5]
@@ -448,15 +489,24 @@
 		case op == 4 && len(b.messages) > 0:
 			m := b.messages[len(b.messages)-1-n%len(b.messages)]
 			m.gone = true
-			b.o.Gone(m.m)
+			for _, o := range b.both {
+				o.Gone(m.m)
+			}
 			synctest.Wait()
 		case op == 5:
 			h := testHost(n%4, balance.State(n/4%2))
 			draining[h.Name] = h.Worker.State == balance.Draining
-			b.o.List(balance.ListChanges, []Host{h})
+			for _, o := range b.both {
+				o.List(balance.ListChanges, []Host{h})
+			}
 			synctest.Wait()
 		case op == 6:
 			b.wait(time.Duration(n) * 40 * time.Millisecond)
+		case op == 7 && n%2 == 1: // an upgrade: all that can goes over, but for what is not taken there
+			for i, m := range b.messages {
+				b.move(m, n/2%4 != i%4)
+			}
+			b.o = b.both[n/2%2]
 		case op == 7:
 			b.o.List(balance.ListFailed, nil)
 			synctest.Wait()
@@ -479,8 +529,10 @@
 			t.Errorf("message %d is answered %v after its deadline", i, late)
 		}
 	}
-	if n := b.o.Check.Breaches(); n > 0 {
-		t.Errorf("%d breaches", n)
+	for _, o := range b.both {
+		if n := o.Check.Breaches(); n > 0 || len(o.jobs)+len(o.keys)+len(o.moving) > 0 {
+			t.Errorf("%d breaches; kept: %d jobs, %d keys, %d that move", n, len(o.jobs), len(o.keys), len(o.moving))
+		}
 	}
 }
 
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -53,7 +53,10 @@
 	stop  context.CancelFunc
 }
 
-var _ owner.South = (*Client)(nil)
+var _ interface {
+	owner.South
+	owner.Resumer
+} = (*Client)(nil)
 
 // New returns a Client.
 func New(c Config) *Client {
@@ -105,14 +108,22 @@
 			c.Sink.Ended(a, status)
 			return
 		}
-		<-ctx.Done()
-		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
-			c.giveUp(a)
-			c.Sink.Ended(a, balance.Cancelled)
-		}
+		c.settle(ctx, a)
 	})
 }
 
+// settle waits for the end of an attempt that its host has taken, and withdraws it there if that is asked for.
+func (c *Client) settle(ctx context.Context, a *owner.Attempt) {
+	<-ctx.Done()
+	if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
+		c.giveUp(a)
+		c.Sink.Ended(a, balance.Cancelled)
+	}
+}
+
+// Resume goes on with an attempt that its host has taken from another process of this dispatcher.
+func (c *Client) Resume(ctx context.Context, a *owner.Attempt) { c.spawn(func() { c.settle(ctx, a) }) }
+
 // Caller is a payload that can be passed on as a call, whatever its client spoke.
 type Caller interface{ HTTP() *http1.Call }
 
@@ -209,7 +220,11 @@
 	}
 	text, _ := answer.Fields.Get(load.Header)
 	a.Load = c.Loads.Text(a.Host.Name, text)
-	return outcome(answer)
+	status := outcome(answer)
+	if status == 0 {
+		a.Taken()
+	}
+	return status
 }
 
 // broke notes that a connection broke, unless this side ended what it carried.
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -24,6 +24,7 @@
 	Queue  int                             // jobs that may wait for a slot; one more is turned away unseen
 	Job    time.Duration                   // how long a job runs
 	JobOf  func(body []byte) time.Duration // the same by its data, if it is set
+	Until  <-chan struct{}                 // jobs run until it is closed, if it is set
 	Size   float64                         // as discovery lists it; 0 for 1
 	Result func(body []byte) []byte
 	ID     func(body []byte) string // finds the ledger's name of a job; nil for its id
@@ -166,8 +167,13 @@
 	}
 	begun := time.Now()
 	defer func() { h.busy.Add(int64(time.Since(begun))) }()
+	ends := time.After(job)
+	if h.Until != nil {
+		ends = nil
+	}
 	select {
-	case <-time.After(job):
+	case <-ends:
+	case <-h.Until:
 	case <-ctx.Done():
 		h.tell(id, "lost", nil)
 		return
--- a/lab/overhead.go
+++ b/lab/overhead.go
@@ -127,7 +127,7 @@
 		if err != nil {
 			return m, err
 		}
-		p, err = start(ctx, self, []string{"proxy", "--listen", world.Listen, "--hosts", strings.Join(hosts, ",")}, nil, 1, world.Listen, "", c.Stderr)
+		p, err = start(ctx, self, []string{"proxy", "--listen", world.Listen, "--hosts", strings.Join(hosts, ",")}, nil, nil, 1, "http://"+world.Listen+"/-/ready", "", c.Stderr)
 		if err != nil {
 			return m, err
 		}
--- a/lab/process.go
+++ b/lab/process.go
@@ -27,7 +27,7 @@
 type Process struct {
 	Address string
 	cmd     *exec.Cmd
-	dir     string
+	dir     string // its own, removed at its end
 	ended   chan struct{}
 	err     error
 }
@@ -52,6 +52,9 @@
 	Procs    int // GOMAXPROCS; 0 leaves it
 	Args     []string
 	Env      []string
+	// Listener is the clients' socket and Dir the folder that all processes of one dispatcher share; nil and empty: the process has its own.
+	Listener *os.File
+	Dir      string
 }
 
 // Classes are the classes of every experiment: one keyed, one that must never run twice.
@@ -128,14 +131,31 @@
 	if c.Settings != "" {
 		args = append(args, "--settings", c.Settings)
 	}
-	env := append([]string{"LB_CONFIG=" + path, "TMPDIR=" + dir}, c.Env...)
-	return start(ctx, c.Binary, args, env, c.Procs, listen, dir, c.Stderr)
+	shared, probe := dir, "http://"+listen+"/-/ready"
+	if c.Dir != "" {
+		shared = c.Dir
+	}
+	env := append([]string{"LB_CONFIG=" + path, "TMPDIR=" + shared}, c.Env...)
+	var files []*os.File
+	if c.Listener != nil {
+		files, env = []*os.File{c.Listener}, append(env, "LB_INHERITED_FD=3")
+	}
+	if c.Listener != nil && c.Control { // at the clients' address another process may answer
+		probe = "http://" + control + "/control/ready"
+	}
+	p, err := start(ctx, c.Binary, args, env, files, c.Procs, probe, dir, c.Stderr)
+	if err != nil {
+		return nil, err
+	}
+	p.Address = listen
+	return p, nil
 }
 
-// start starts a program and waits until it answers at its address.
-func start(ctx context.Context, binary string, args, env []string, procs int, address, dir string, stderr io.Writer) (*Process, error) {
-	p := &Process{Address: address, dir: dir, ended: make(chan struct{})}
+// start starts a program and waits until it answers a probe.
+func start(ctx context.Context, binary string, args, env []string, files []*os.File, procs int, probe, dir string, stderr io.Writer) (*Process, error) {
+	p := &Process{dir: dir, ended: make(chan struct{})}
 	p.cmd = exec.Command(binary, args...)
+	p.cmd.ExtraFiles = files
 	p.cmd.Stderr = stderr
 	p.cmd.Env = append(os.Environ(), env...)
 	if procs > 0 {
@@ -150,10 +170,12 @@
 		close(p.ended)
 	}()
 	for wait := time.Now(); time.Since(wait) < 10*time.Second; {
-		answer, err := http.Get("http://" + address + "/-/ready")
+		answer, err := http.Get(probe)
 		if err == nil {
 			answer.Body.Close()
-			return p, nil
+			if answer.StatusCode != http.StatusServiceUnavailable {
+				return p, nil
+			}
 		}
 		select {
 		case <-p.ended:
