Let dispatchers talk: membership over UDP, asked by operators, proven with real processes

Need: the module that plays in virtual time has to run in the daemon, reach the decisions, and be shown to hold where parts of real processes fail.

Change: internal/gossip carries member's messages, one datagram each, in CBOR with format version, cluster and room for a proof; what is foreign, newer, cut, too long or malformed is dropped and counted. "Port unreachable" is read off the socket's error queue. `membership` in the settings, off by default; liftgauge members and GET /control/members.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -184,7 +184,7 @@
 		return true // most jobs wait here
 	}
 	c *= d.s.OverloadFactor / 2 * max(0.3, d.placed) * (1 - d.turned)
-	return scheduled && w.turn != d.count && draw < c
+	return scheduled && w.turn != d.count && draw < c && (d.count >= d.calm || d.count-w.turn > len(d.sorted))
 }
 
 // spare estimates the free slots of a worker: what it takes, or lately reported, but for the own jobs there.
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -99,7 +99,13 @@
 	if d.s.CrossZoneFee > 0 {
 		share /= max(d.s.Zones, 1)
 	}
-	if d.bias = 1; share > 2*(threshold+1) { // under half a job each of all that a worker takes
-		d.thin, d.bias = true, 2
+	d.crowd(share)
+}
+
+// crowd sets what follows from how many mostly use the same workers: under half a job each of all that a
+// worker takes is thin.
+func (d *Dispatcher) crowd(share int) {
+	if d.thin, d.bias = share > 2*(threshold+1), 1; d.thin {
+		d.bias = 2
 	}
 }
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -179,3 +179,17 @@
 	}
 	d.lists++ // turns go by what the kinds show
 }
+
+// Among says which of how many dispatchers this one is from now on, and how many of them are in its zone, where that is known otherwise than
+// by the settings. The walk goes on elsewhere in the period: for as long as a period a cold worker has no second turn within a round.
+func (d *Dispatcher) Among(now time.Duration, number, dispatchers, inZone int) {
+	d.s.Dispatchers = min(max(dispatchers, 1), 1<<16)
+	d.s.Number = max(number, 0) % d.s.Dispatchers
+	share := d.s.Dispatchers
+	if d.s.CrossZoneFee > 0 {
+		share = inZone
+	}
+	d.crowd(share)
+	d.calm = d.count + turns*len(d.sorted)
+	d.lists++ // sizes may count to another power
+}
--- a/balance/handover_test.go
+++ b/balance/handover_test.go
@@ -78,3 +78,53 @@
 		}
 	}
 }
+
+// TestAmong: the number of this dispatcher and how many there are change in the midst of traffic. A cold worker gets no second turn within a
+// round for that, thin traffic begins and ends, and the share of jobs that each worker gets stays what it was.
+func TestAmong(t *testing.T) {
+	set := settings()
+	set.Dispatchers, set.Number, set.OverloadFactor = 3, 1, 1e6 // every turn that a cold worker may take it takes
+	ws := fleet(1, 1, 1, 1, 1, 1, 1, 1)
+	h := newHost(t, set, ws...)
+	cold := ws[3]
+	cold.Up = h.now
+	h.d.List(h.now, ListChanges, []Worker{cold})
+	id, lastTurn := JobID(0), -100
+	for round := range 60 {
+		if round%3 == 0 {
+			n := []int{3, 10, 40, 2, 300, 1}[round/3%6]
+			h.d.Among(h.now, round%n, n, n)
+		}
+		for range 1 + round%4 {
+			id++
+			h.job(id, 0)
+			if len(h.sentFor[id]) == 0 {
+				t.Fatalf("job %d was not sent", id)
+			}
+			if h.sentFor[id][0] == cold.ID {
+				if gap := int(id) - lastTurn; gap < len(ws)/2 {
+					t.Errorf("two turns of the cold worker %d jobs apart", gap)
+				}
+				lastTurn = int(id)
+			}
+			h.end(id, OK)
+		}
+	}
+	got := map[WorkerID]int{}
+	for range 800 {
+		id++
+		h.job(id, 0)
+		got[h.sentFor[id][0]]++
+		h.end(id, OK)
+	}
+	for _, w := range ws {
+		if w.ID != cold.ID && (got[w.ID] < 60 || got[w.ID] > 160) {
+			t.Errorf("worker %d got %d of 800 jobs", w.ID, got[w.ID])
+		}
+	}
+	h.d.Among(h.now, -5, -1, 0) // an absurd word is none
+	id++
+	if h.job(id, 0); len(h.sentFor[id]) != 1 {
+		t.Error("no send after an absurd word")
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -104,6 +104,7 @@
 	kinds   map[int]*kind
 	periods map[periodKey]*period
 	count   int                // jobs taken; kept when the list changes
+	calm    int                // from which count on turns follow each other evenly again
 	jobs    map[JobID]*request // with attempts out, or open
 	lanes   [][]*request       // waiting here for room, by lane in the order in which they go
 	held    int                // in all lanes
--- a/cmd/liftgauge/main.go
+++ b/cmd/liftgauge/main.go
@@ -35,7 +35,7 @@
 			DisableDefaultCmd: true,
 		},
 	}
-	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	cmd.AddCommand(serveCommand(), checkCommand(), versionCommand(), membersCommand())
 	return cmd
 }
 
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -174,13 +174,18 @@
 	}
 	log.Info("serving", "name", c.Name, "listen", c.Listen, "hosts", len(known.Hosts))
 
+	fellows, err := openMembership(ctx, c, own, sink.Owner, now, log)
+	if err != nil {
+		return err
+	}
+
 	// They end from the outside in: first nobody hands in messages, then nobody decides, then nobody sends.
 	run, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
-		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Drain: clients.Drain, Offline: n.call, Log: log,
+		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Members: fellows.status(), Drain: clients.Drain, Offline: n.call, Log: log,
 			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes, records, loads) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
@@ -189,6 +194,9 @@
 		group.Go(func() error { return pulls.Run(run, listeners...) })
 	}
 	group.Go(func() error { return list.Run(run) })
+	if fellows != nil {
+		group.Go(func() error { return fellows.Run(ctx) }) // it leaves as the planned end begins
+	}
 	group.Go(func() error { return n.store.Run(run) })
 	owned, ownerEnds := context.WithCancel(context.Background())
 	group.Go(func() error {
--- a/deploy/liftgauge.cue
+++ b/deploy/liftgauge.cue
@@ -4,6 +4,11 @@
 
 // capture: folder: "/var/lib/liftgauge/capture"
 
+// membership: { // docs/membership.md
+// 	listen: "127.0.0.1:7946"
+// 	seeds: ["127.0.0.1:7946", "127.0.0.1:7947"]
+// }
+
 // gearman: {
 // 	listen: "127.0.0.1:4730"
 // 	functions: {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -37,6 +37,8 @@
 	// Offline leaves a host out or, with false, lets it serve again; it returns once that is applied. Known says whether
 	// the host was ever listed.
 	Offline func(ctx context.Context, id string, out bool) (known bool, err error)
+	// Members tells in JSON what membership knows; nil where it is off.
+	Members func(ctx context.Context) ([]byte, error)
 	// Drain sends clients away or, with false, takes them again.
 	Drain func(on bool)
 	Log   *slog.Logger
@@ -191,6 +193,19 @@
 			status, body = 200, s.Figures().Append(nil)
 			fields = http1.Fields{{Name: "Content-Type", Value: "text/plain; version=0.0.4"}}
 		}
+	case "/control/members":
+		if s.Members == nil {
+			return 404, nil, []byte("membership is off\n")
+		}
+		method, act = "GET", func() {
+			within, stop := context.WithTimeout(ctx, applyWithin)
+			defer stop()
+			var err error
+			status, fields = 200, http1.Fields{{Name: "Content-Type", Value: "application/json"}}
+			if body, err = s.Members(within); err != nil {
+				status, fields, body = 503, nil, []byte("membership does not answer\n")
+			}
+		}
 	case "/control/out-of-service":
 		act = func() { s.Drain(true) }
 	case "/control/in-service":
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,256 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"liftgauge/member"
+)
+
+func codec(t testing.TB, cluster string) *Codec {
+	t.Helper()
+	c, err := NewCodec(cluster)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// full is a message in which everything is set.
+func full() *member.Message {
+	p := member.Peer{ID: member.ID{Name: "n01", Inc: 1 << 50}, Address: "127.0.0.1:7946", Zone: 3, Number: 17}
+	v := &member.Value{Removed: member.Bits{5, 0}, Joined: []member.Peer{p}}
+	return &member.Message{Kind: member.Beat, From: p.ID, Lineage: 1 << 60, View: 9, Hash: 77, Size: 12, Digest: 1 << 30, Charges: []member.Charge{{Subject: 900, Gen: 3, Silent: 1023, Refused: 9, Left: true}},
+		Dead: member.Bits{1, 2}, Again: member.Bits{3, 4}, Joins: []member.Peer{p}, Steps: []member.Step{{From: 8, Value: *v}}, Peer: &p, Token: 5, Rank: 2, Part: &member.Chunk{Index: 1, Of: 2, Most: 12, Members: []member.Peer{p}},
+		Round: &member.Round{Ballot: 13, Gone: member.Bits{1, 0}, Promises: member.Bits{7, 0}, Best: 1, Before: v, Value: v, Votes: member.Bits{1, 1}, Has: true}}
+}
+
+// TestCodec: a message comes over whole, in no more bytes than it is planned with; what is foreign, newer, cut, too long or spoilt is told apart.
+func TestCodec(t *testing.T) {
+	c := codec(t, "lab")
+	for _, m := range []*member.Message{full(), {Kind: member.Ping, From: member.ID{Name: "dispatcher-0001", Inc: 1 << 41}, Lineage: 1 << 63, View: 12, Size: 1000, Digest: 1 << 31}} {
+		b, err := c.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := c.Decode(b); err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%v\n%+v\n%+v", err, got, m)
+		}
+		if len(b) > m.Bytes() {
+			t.Errorf("%d bytes, planned with %d", len(b), m.Bytes())
+		}
+		for i := range b {
+			if _, err := c.Decode(b[:i]); !errors.Is(err, ErrMalformed) {
+				t.Errorf("cut at %d: %v", i, err)
+			}
+		}
+		if _, err := codec(t, "other").Decode(b); !errors.Is(err, ErrForeign) {
+			t.Errorf("of another cluster: %v", err)
+		}
+	}
+	newer, _ := cbor.Marshal([]any{Version + 1, 1, []byte{}, 5})
+	for want, b := range map[error][]byte{ErrNewer: newer, ErrTooLong: make([]byte, member.MaxBytes+1), ErrMalformed: {0xff, 1}} {
+		if _, err := c.Decode(b); !errors.Is(err, want) {
+			t.Errorf("want %v, have %v", want, err)
+		}
+	}
+	long := full()
+	long.Joins = make([]member.Peer, 40)
+	for i := range long.Joins {
+		long.Joins[i] = member.Peer{ID: member.ID{Name: strings.Repeat("n", 30)}, Address: "127.0.0.1:7946"}
+	}
+	if _, err := c.Encode(long); !errors.Is(err, ErrTooLong) {
+		t.Errorf("a long one: %v", err)
+	}
+}
+
+// FuzzDatagram: whatever comes, a member that is in a view and one that is out take it without a panic, and go on.
+func FuzzDatagram(f *testing.F) {
+	c := codec(f, "lab")
+	for kind := member.Beat; kind <= member.Out; kind++ {
+		m := full()
+		m.Kind, m.From = kind, member.ID{Name: "n1", Inc: 1}
+		for _, lineage := range []uint64{1, 2} {
+			m.Lineage, m.View = lineage, 1
+			b, err := c.Encode(m)
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(b)
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := c.Decode(b)
+		if err != nil {
+			return
+		}
+		peers := []member.Peer{{ID: member.ID{Name: "n0", Inc: 1}, Address: "a0"}, {ID: member.ID{Name: "n1", Inc: 1}, Address: "a1"}, {ID: member.ID{Name: "n2", Inc: 1}, Address: "a2"}}
+		for _, inside := range []bool{true, false} {
+			x := member.New(member.Config{Self: peers[0], Seeds: []string{"a1", "a2"}}, time.Hour, 1)
+			if inside {
+				x.Begin(&member.View{Lineage: 1, Number: 1, Most: 3, Members: peers})
+			}
+			for i := range 4 {
+				x.Receive(time.Hour, "a1", m)
+				x.Tick(time.Hour + time.Duration(i)*700*time.Millisecond)
+			}
+			x.Take()
+			x.Members()
+		}
+	})
+}
+
+// wire carries datagrams inside a test: what is sent to an address that nobody has comes back as refused.
+type wire struct {
+	mu  sync.Mutex
+	at  map[string]chan packetOnWire
+	cut map[[2]string]bool
+}
+
+type packetOnWire struct {
+	b       []byte
+	from    string
+	refused bool
+}
+
+type end struct {
+	*wire
+	address string
+	in      chan packetOnWire
+}
+
+func (w *wire) open(address string) *end {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &end{w, address, make(chan packetOnWire, 512)}
+	w.at[address] = e.in
+	return e
+}
+
+func (e *end) Send(to string, b []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := packetOnWire{append([]byte(nil), b...), e.address, false}
+	in := e.at[to]
+	if in == nil {
+		p, in = packetOnWire{from: to, refused: true}, e.in
+	}
+	if e.cut[[2]string{e.address, to}] || e.at[e.address] == nil {
+		return
+	}
+	select {
+	case in <- p:
+	default:
+	}
+}
+
+func (e *end) Receive(b []byte) (int, string, bool, error) {
+	p, ok := <-e.in
+	if !ok {
+		return 0, "", false, net.ErrClosed
+	}
+	return copy(b, p.b), p.from, p.refused, nil
+}
+
+func (e *end) Close() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.at[e.address] != nil {
+		delete(e.at, e.address)
+		close(e.in)
+	}
+	return nil
+}
+
+// TestNodes: three nodes find each other, each knows its place; one that leaves is out at once and the others close up; garbage is counted.
+func TestNodes(t *testing.T) {
+	w := &wire{at: map[string]chan packetOnWire{}, cut: map[[2]string]bool{}}
+	var mu sync.Mutex
+	places := map[int]Place{}
+	var nodes []*Node
+	var stops []context.CancelFunc
+	var ended sync.WaitGroup
+	for i := range 3 {
+		address := []string{"a0", "a1", "a2"}[i]
+		n := New(Config{Member: member.Config{Self: member.Peer{ID: member.ID{Name: address, Inc: 1}, Address: address, Number: i, Zone: i % 2}, Seeds: []string{"a0", "a1"}, Fleet: 3,
+			Every: 2 * time.Millisecond, Beat: 10 * time.Millisecond, Ask: 200 * time.Millisecond, Silent: 5 * time.Second, Settle: 10 * time.Millisecond, Found: 30 * time.Millisecond, Budget: 1 << 20},
+			Codec: codec(t, "lab"), Transport: w.open(address), Seed: uint64(i), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+			Placed: func(p Place) { mu.Lock(); places[i] = p; mu.Unlock() }})
+		ctx, stop := context.WithCancel(t.Context())
+		stops, nodes = append(stops, stop), append(nodes, n)
+		ended.Go(func() { n.Run(ctx) })
+	}
+	await := func(what string, is func() bool) {
+		t.Helper()
+		for start := time.Now(); !is(); time.Sleep(time.Millisecond) {
+			if time.Since(start) > time.Minute {
+				t.Fatalf("%s: not within a minute: %+v", what, places)
+			}
+		}
+	}
+	placed := func(want map[int]Place) func() bool {
+		return func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return reflect.DeepEqual(places, want)
+		}
+	}
+	await("all three", placed(map[int]Place{0: {true, 0, 3, 2}, 1: {true, 1, 3, 1}, 2: {true, 2, 3, 2}}))
+	w.open("a9").Send("a0", []byte("garbage"))
+	await("garbage counted", func() bool { return nodes[0].Counts().Malformed == 1 })
+	if s, err := nodes[1].Status(t.Context()); err != nil || s.State != "inside" || len(s.Members) != 3 || s.Number != 1 || !s.InTouch {
+		t.Errorf("%v, %+v", err, s)
+	}
+	stops[0]()
+	await("two left", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return places[1] == Place{true, 0, 2, 1} && places[2] == Place{true, 1, 2, 1}
+	})
+	stops[1]()
+	stops[2]()
+	ended.Wait()
+	if _, err := nodes[1].Status(t.Context()); err == nil {
+		t.Error("one that has ended still answers")
+	}
+}
+
+// TestUDP: what goes to a port that nobody has comes back with its address, and does not cost the next datagram.
+func TestUDP(t *testing.T) {
+	a, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	b, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := b.Address()
+	b.Close()
+	c, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	a.Send(dead, []byte("x"))
+	buf := make([]byte, 16)
+	if _, to, refused, err := a.Receive(buf); err != nil || !refused || to != dead {
+		t.Errorf("%q refused %v, %v; want %q", to, refused, err, dead)
+	}
+	a.Send(dead, []byte("x"))
+	a.Send(c.Address(), []byte("hi"))
+	if n, from, refused, err := c.Receive(buf); err != nil || refused || string(buf[:n]) != "hi" || from != a.Address() {
+		t.Errorf("%q from %q, refused %v, %v", buf[:n], from, refused, err)
+	}
+}
--- /dev/null
+++ b/internal/gossip/node.go
@@ -0,0 +1,236 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"liftgauge/member"
+)
+
+// Place is what the fleet looks like from here. Where it is not Known the settings' figures hold.
+type Place struct {
+	Known           bool
+	Number, Members int // this one's rank, and how many there are
+	InZone          int // of them in the own zone
+}
+
+// Config is what a Node needs.
+type Config struct {
+	Member    member.Config
+	Codec     *Codec
+	Transport Transport
+	Seed      uint64
+	// Placed is told of every change of the place. It must not block.
+	Placed func(Place)
+	Log    *slog.Logger
+	Now    func() time.Duration
+}
+
+// Counts are datagrams.
+type Counts struct{ Sent, Received, Foreign, Newer, Malformed, Refused int64 }
+
+// Node runs one member. One goroutine owns it; another one waits at the transport.
+type Node struct {
+	Config
+	m     *member.Member
+	place Place
+	asks  chan func()
+	done  chan struct{}
+
+	sent, received, foreign, newer, malformed, refused atomic.Int64
+}
+
+// leaveWithin is how long a member that ends waits for the others to agree to it.
+const leaveWithin = 2500 * time.Millisecond
+
+// New returns a Node; Run starts it.
+func New(c Config) *Node {
+	return &Node{Config: c, asks: make(chan func()), done: make(chan struct{})}
+}
+
+// Counts returns the datagrams so far.
+func (n *Node) Counts() Counts {
+	return Counts{n.sent.Load(), n.received.Load(), n.foreign.Load(), n.newer.Load(), n.malformed.Load(), n.refused.Load()}
+}
+
+type packet struct {
+	from    string
+	m       *member.Message
+	refused bool
+}
+
+// Run plays the member's part until the context ends, and then leaves as planned.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	n.m = member.New(n.Member, n.Now(), n.Seed)
+	packets := make(chan packet, 256)
+	ended, end := context.WithCancel(context.Background())
+	defer end()
+	var reader errgroup.Group
+	reader.Go(func() error { n.read(ended, packets); return nil })
+	defer reader.Wait()
+	defer n.Transport.Close()
+	every := n.Member.Fill(0).Every
+	ticks := time.NewTicker(every)
+	defer ticks.Stop()
+	leaving := ctx.Done()
+	var last <-chan time.Time
+	for {
+		select {
+		case p := <-packets:
+			if p.refused {
+				n.m.Refused(n.Now(), p.from)
+			} else {
+				n.m.Receive(n.Now(), p.from, p.m)
+			}
+		case <-ticks.C:
+			n.m.Tick(n.Now())
+		case f := <-n.asks:
+			f()
+		case <-leaving:
+			leaving, last = nil, time.After(leaveWithin)
+			n.m.Leave(n.Now())
+		case <-last:
+			return nil
+		}
+		n.act()
+		if leaving == nil && n.m.State() != member.Leaving && n.m.State() != member.Inside {
+			return nil
+		}
+	}
+}
+
+// read takes datagrams until the transport is closed. Where the member does not keep up they are lost, as they may be anywhere.
+func (n *Node) read(ended context.Context, packets chan<- packet) {
+	b := make([]byte, member.MaxBytes+1)
+	for {
+		size, from, refused, err := n.Transport.Receive(b)
+		if err != nil {
+			return
+		}
+		p := packet{from: from, refused: refused}
+		if refused {
+			n.refused.Add(1)
+		} else {
+			n.received.Add(1)
+			switch p.m, err = n.Codec.Decode(b[:size]); {
+			case errors.Is(err, ErrForeign):
+				n.foreign.Add(1)
+				continue
+			case errors.Is(err, ErrNewer):
+				n.newer.Add(1)
+				continue
+			case err != nil:
+				n.malformed.Add(1)
+				continue
+			}
+		}
+		select {
+		case packets <- p:
+		case <-ended.Done():
+			return
+		default:
+		}
+	}
+}
+
+// act sends and tells what the member wants.
+func (n *Node) act() {
+	out, events := n.m.Take()
+	for _, e := range out {
+		b, err := n.Codec.Encode(e.Message)
+		if err != nil {
+			n.Log.Warn("membership: message not sent", "kind", e.Message.Kind, "err", err)
+			continue
+		}
+		n.sent.Add(1)
+		n.Transport.Send(e.To, b)
+	}
+	for _, e := range events {
+		if e.View == nil {
+			n.Log.Warn("membership: out of the view", "reason", e.Reason, "state", n.m.State())
+			continue
+		}
+		n.Log.Info("membership: view", "lineage", e.View.Lineage, "number", e.View.Number, "members", len(e.View.Members), "reason", e.Reason)
+	}
+	var p Place
+	if v := n.m.View(); v != nil && n.m.InTouch() {
+		p.Known = true
+		p.Number, p.Members = v.Place(n.m.Self().ID)
+		_, p.InZone = v.PlaceIn(n.m.Self().ID, n.m.Self().Zone)
+	}
+	if p != n.place {
+		if n.place.Known != p.Known {
+			n.Log.Info("membership: in touch", "with_most", p.Known, "number", p.Number, "members", p.Members)
+		}
+		n.place = p
+		n.Placed(p)
+	}
+}
+
+// Status is what the member knows, for operators.
+type Status struct {
+	State   string         `json:"state"`
+	InTouch bool           `json:"in_touch"`
+	Name    string         `json:"name"`
+	Inc     uint64         `json:"incarnation"`
+	Lineage uint64         `json:"lineage,omitempty"`
+	View    uint64         `json:"view,omitempty"`
+	Number  int            `json:"number"` // -1: not in a view
+	Members []MemberStatus `json:"members"`
+}
+
+// MemberStatus is one line of it.
+type MemberStatus struct {
+	Name      string   `json:"name"`
+	Inc       uint64   `json:"incarnation"`
+	Address   string   `json:"address"`
+	Zone      int      `json:"zone"`
+	State     string   `json:"state"`              // up, suspected, down or gone
+	HeardMS   int64    `json:"heard_ms,omitempty"` // ago, where this member watches it
+	Watched   bool     `json:"watched"`            // by this member
+	Suspected []string `json:"suspected_by,omitempty"`
+}
+
+// Status asks the member.
+func (n *Node) Status(ctx context.Context) (s Status, err error) {
+	answered := make(chan struct{})
+	ask := func() {
+		defer close(answered)
+		self := n.m.Self().ID
+		s = Status{State: n.m.State().String(), InTouch: n.m.InTouch(), Name: self.Name, Inc: self.Inc, Number: -1}
+		if v := n.m.View(); v != nil {
+			s.Lineage, s.View = v.Lineage, v.Number
+			s.Number, _ = v.Place(self)
+		}
+		for _, e := range n.m.Members() {
+			m := MemberStatus{Name: e.ID.Name, Inc: e.ID.Inc, Address: e.Address, Zone: e.Zone, State: "up", Suspected: append(e.Silent, e.Refused...), Watched: e.Heard >= 0}
+			if m.Watched {
+				m.HeardMS = e.Heard.Milliseconds()
+			}
+			switch {
+			case e.Gone:
+				m.State = "gone"
+			case e.Down:
+				m.State = "down"
+			case len(m.Suspected) > 0:
+				m.State = "suspected"
+			}
+			s.Members = append(s.Members, m)
+		}
+	}
+	select {
+	case n.asks <- ask:
+		<-answered
+		return s, nil
+	case <-n.done:
+		return s, errors.New("membership has ended")
+	case <-ctx.Done():
+		return s, ctx.Err()
+	}
+}
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -150,3 +150,14 @@
 	err = o.ask(ctx, func(now time.Duration) { l = o.module.Learned(now) })
 	return l, err
 }
+
+// Among says which of how many dispatchers this one is, and how many of them are in its zone, from now on; 0 of 0: as the settings say.
+func (o *Owner) Among(number, dispatchers, inZone int) {
+	o.post(func(now time.Duration) {
+		if dispatchers <= 0 {
+			number, dispatchers = o.Settings.Number, o.Settings.Dispatchers
+			inZone = dispatchers / max(o.Settings.Zones, 1)
+		}
+		o.module.Among(now, number, dispatchers, inZone)
+	})
+}
--- a/internal/settings/cuefile/schema.cue
+++ b/internal/settings/cuefile/schema.cue
@@ -17,6 +17,25 @@
 
 	gearman?: #Gearman
 	capture?: #Capture
+
+	membership?: #Membership
+}
+
+// Talk between the dispatchers of one fleet: who of them lives. The net must be trusted.
+#Membership: {
+	// An IPv4 address of this process's own, for UDP. Others see what it sends come from it.
+	listen:  =~"^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$"
+	// Where others reach it and see it come from, if something between translates addresses.
+	advertise?: =~"^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$"
+	cluster:    string & !="" | *"liftgauge"
+
+	// Where members are found; in the same order everywhere. The first that lives begins a fleet that has none.
+	seeds: [=~"^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$", ...string]
+
+	roundTrip: #Duration | *"10ms" // the longest usual way there and back; times grow with it from 50ms on
+	silent?:   #Duration            // until a member that says nothing is charged; 6s: longer than any pause that is to be borne
+	refusals:  bool | *true         // "port unreachable" proves a death; false where a firewall says it for others
+	bytes:     int & >=2000 & <=1000000 | *3500 // a second at most, with heads of IP and UDP
 }
 
 // A record of each message, without bodies and without ids of people.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,20 @@
 	Sockets int      `json:"sockets"` // descriptors, where the configuration offers more than its usual most; 0: not set
 	Gearman *Gearman `json:"gearman"` // nil: off
 	Capture *Capture `json:"capture"` // nil: off
+	// Membership is nil where dispatchers do not talk to each other.
+	Membership *Membership `json:"membership"`
+}
+
+// Membership is what the schema calls #Membership.
+type Membership struct {
+	Listen    string   `json:"listen"`
+	Advertise string   `json:"advertise"` // empty: as it listens
+	Cluster   string   `json:"cluster"`
+	Seeds     []string `json:"seeds"`
+	RoundTrip Duration `json:"roundTrip"`
+	Silent    Duration `json:"silent"`
+	Refusals  bool     `json:"refusals"`
+	Bytes     int      `json:"bytes"`
 }
 
 // Capture is what the schema calls #Capture.
--- a/lab/process.go
+++ b/lab/process.go
@@ -2,6 +2,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -53,8 +54,12 @@
 	Args     []string
 	Env      []string
 	// Listener is the clients' socket and Dir the folder that all processes of one dispatcher share; nil and empty: the process has its own.
-	Listener *os.File
-	Dir      string
+	Listener  *os.File
+	Dir       string
+	Name      string // empty: lab
+	Number    int    // of all Fleet dispatchers, where there are several
+	Fleet     int
+	ControlAt string // where operators call; empty: any free address, if there is Control
 }
 
 // Classes are the classes of every experiment: one keyed, one that must never run twice.
@@ -86,7 +91,7 @@
 // configuration is the daemon's JSON.
 func configuration(c DaemonConfig, listen, discovery, control string) ([]byte, error) {
 	config := map[string]any{
-		"name": "lab", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"name": cmp.Or(c.Name, "lab"), "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": c.MemoryMB, "sockets": c.Sockets},
 		"known":  c.Known,
 		"settings": map[string]any{
@@ -97,7 +102,7 @@
 				"maxAttempts": 4, "probes": true, "secondCopies": true},
 			"rules": map[string]any{"askWithinNs": 10 * time.Second, "drainGraceNs": 500 * time.Millisecond, "fallNs": 2 * time.Second,
 				"overloadFactor": 2.5, "startCapacity": 0.3, "warmWithinNs": 8 * time.Second},
-			"locality": 0, "membershipMode": "on_request", "replicasOfMe": 1, "slotNo": 0, "stepNs": 2 * time.Millisecond,
+			"locality": 0, "membershipMode": "on_request", "replicasOfMe": max(c.Fleet, 1), "slotNo": c.Number, "stepNs": 2 * time.Millisecond,
 			"weightKind": "rough", "worthBy": "work",
 		},
 	}
@@ -114,7 +119,7 @@
 		return nil, err
 	}
 	control := ""
-	if c.Control {
+	if control = c.ControlAt; c.Control && control == "" {
 		if control, err = freeAddress(); err != nil {
 			return nil, err
 		}
--- a/member/message.go
+++ b/member/message.go
@@ -84,7 +84,7 @@
 
 // Bytes is at least what a message takes in its encoding, near enough to plan by.
 func (m *Message) Bytes() int {
-	n := 44 + len(m.From.Name)
+	n := 52 + len(m.From.Name)
 	n += 14 * len(m.Charges)
 	if len(m.Dead)+len(m.Again) > 0 {
 		n += 8 + len(m.Dead) + len(m.Again)
