Break links to hosts and discovery in the rig; members that leave are told

An upgrade's new process takes the old one's place in the view, which says superseded and asks seldom. Found by the test of leaving: of two members the one that leaves did not count as up for the vote, was told nothing as it was down, and took the decision with it. The gone are asked no more. Figures of membership among the counters.

--- a/cmd/liftgauge/members.go
+++ b/cmd/liftgauge/members.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"liftgauge/internal/config"
+	"liftgauge/internal/control"
 	"liftgauge/internal/gossip"
 	"liftgauge/internal/owner"
 	"liftgauge/member"
@@ -47,6 +48,21 @@
 		Placed: func(p gossip.Place) { o.Among(p.Number, p.Members, p.InZone) }})}, nil
 }
 
+// figures are its counts; none where membership is off.
+func (f *fellows) figures() []control.Figure {
+	if f == nil {
+		return nil
+	}
+	c, p := f.Counts(), f.Seen()
+	known := int64(0)
+	if p.Known {
+		known = 1
+	}
+	return []control.Figure{{Name: "membership_in_touch", N: known}, {Name: "membership_members", N: int64(p.Members)}, {Name: "membership_sent_total", N: c.Sent},
+		{Name: "membership_received_total", N: c.Received}, {Name: "membership_refused_total", N: c.Refused},
+		{Name: "membership_dropped_total", N: c.Foreign + c.Newer + c.Malformed}}
+}
+
 // status is what operators are told; nil where membership is off.
 func (f *fellows) status() func(ctx context.Context) ([]byte, error) {
 	if f == nil {
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -186,7 +186,7 @@
 	group.Go(func() error { return clients.Run(run, listener) })
 	if calls != nil {
 		operators := control.New(control.Config{Callers: callers(c), Ready: n.ready, Members: fellows.status(), Drain: clients.Drain, Offline: n.call, Log: log,
-			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes, records, loads) }})
+			Figures: func() control.Figures { return figures(c, clients, sink.Owner, pulls, bytes, records, loads, fellows) }})
 		group.Go(func() error { return operators.Run(run, calls) })
 	}
 	if pulls != nil {
@@ -228,10 +228,11 @@
 }
 
 // figures gathers the counts, each from where the thing is counted.
-func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget, records *records, loads *load.Reader) control.Figures {
+func figures(c *config.Config, clients *north.Server, o *owner.Owner, pulls *pulls, bytes *budget.Budget, records *records, loads *load.Reader, members *fellows) control.Figures {
 	f := control.Figures{Forwards: o.Forwards(), Outstanding: clients.Outstanding()}
 	f.Discovered, f.Ejected = o.Fleet()
 	f.More = append(pulls.figures(bytes), records.figures()...)
+	f.More = append(f.More, members.figures()...)
 	if loads != nil {
 		f.More = append(f.More, control.Figure{Name: "load_reports_bad_total", N: loads.Bad()})
 	}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -42,6 +42,8 @@
 	asks  chan func()
 	done  chan struct{}
 
+	seen atomic.Pointer[Place]
+
 	sent, received, foreign, newer, malformed, refused atomic.Int64
 }
 
@@ -58,6 +60,14 @@
 	return Counts{n.sent.Load(), n.received.Load(), n.foreign.Load(), n.newer.Load(), n.malformed.Load(), n.refused.Load()}
 }
 
+// Seen is the place as of a moment ago.
+func (n *Node) Seen() Place {
+	if p := n.seen.Load(); p != nil {
+		return *p
+	}
+	return Place{}
+}
+
 type packet struct {
 	from    string
 	m       *member.Message
@@ -169,6 +179,7 @@
 			n.Log.Info("membership: in touch", "with_most", p.Known, "number", p.Number, "members", p.Members)
 		}
 		n.place = p
+		n.seen.Store(&p)
 		n.Placed(p)
 	}
 }
--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -49,6 +49,8 @@
 	Delay     string  `json:"delay"`
 	Spread    string  `json:"spread"`
 	Duplicate float64 `json:"duplicate"`
+	Mode      Mode    `json:"mode"`
+	Hosts     int     `json:"hosts"`
 }
 
 // Scenarios lists the names of those that come with the program.
@@ -191,6 +193,9 @@
 
 func (k *cluster) who(name string, but []int) (set []int) {
 	if name == "rest" {
+		if len(but) == k.n { // of nobody in particular: those that "half" leaves
+			but = k.sets["half"]
+		}
 		for i := range k.n {
 			if !slices.Contains(but, i) {
 				set = append(set, i)
@@ -229,7 +234,7 @@
 	for i := range k.n {
 		m := &clusterMember{i: i}
 		k.members = append(k.members, m)
-		if m.world, err = StartWorld(WorldConfig{Hosts: 2, Slots: 4, Queue: 8, Job: 20 * time.Millisecond}); err != nil {
+		if m.world, err = StartWorld(WorldConfig{Hosts: 3, Slots: 4, Queue: 8, Job: 20 * time.Millisecond, Links: true}); err != nil {
 			return err
 		}
 		if m.control, err = freeAddress(); err != nil {
@@ -327,6 +332,22 @@
 		}
 		return nil
 	}
+	if s.Do == "hosts" || s.Do == "discovery" {
+		delay, _ := time.ParseDuration(s.Delay)
+		for _, i := range who {
+			w := k.members[i].world
+			links := []*TCPLink{w.ListLink}
+			if s.Do == "hosts" {
+				links = w.HostLinks[:min(s.Hosts, len(w.HostLinks))]
+			}
+			for _, l := range links {
+				if err := l.Set(s.Mode, delay); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
 	for _, i := range who {
 		m := k.members[i]
 		m.mu.Lock()
--- a/lab/cluster_test.go
+++ b/lab/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -161,3 +162,89 @@
 	}
 	return string(b[:n]), at.String()
 }
+
+// TestTCPLink: each mode does what it says to connections that are open and to new ones, and is undone.
+func TestTCPLink(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { // an echo
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 64)
+				for {
+					n, err := c.Read(b)
+					if err != nil {
+						c.Close()
+						return
+					}
+					c.Write(b[:n])
+				}
+			}()
+		}
+	}()
+	link, err := NewTCPLink(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	dial := func() net.Conn {
+		t.Helper()
+		c, err := net.Dial("tcp", link.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(time.Minute))
+		return c
+	}
+	echo := func(c net.Conn, text string) error {
+		if _, err := c.Write([]byte(text)); err != nil {
+			return err
+		}
+		b := make([]byte, len(text))
+		_, err := io.ReadFull(c, b)
+		return err
+	}
+	old := dial()
+	if err := echo(old, "open"); err != nil {
+		t.Fatal(err)
+	}
+	for _, mode := range []Mode{Silent, NoBack} { // what is kept back comes when the link opens
+		link.Set(mode, 0)
+		old.Write([]byte("kept"))
+		link.Set(Open, 0)
+		b := make([]byte, 4)
+		if _, err := io.ReadFull(old, b); err != nil || string(b) != "kept" {
+			t.Errorf("%s: %q, %v", mode, b, err)
+		}
+	}
+	link.Set(Slow, time.Millisecond)
+	if err := echo(old, "slow"); err != nil {
+		t.Error(err)
+	}
+	link.Set(Reset, 0)
+	if err := echo(old, "reset"); err == nil {
+		t.Error("an open connection outlives a reset")
+	}
+	if err := echo(dial(), "reset"); err == nil {
+		t.Error("a new connection outlives a reset")
+	}
+	link.Set(Refused, 0)
+	if c, err := net.Dial("tcp", link.Address); err == nil {
+		c.Close()
+		t.Error("not refused")
+	}
+	if err := link.Set(Open, 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := echo(dial(), "back"); err != nil {
+		t.Error(err)
+	}
+}
--- a/lab/scenario.cue
+++ b/lab/scenario.cue
@@ -12,7 +12,7 @@
 
 	steps: [...{
 		at:  #Duration
-		do:  "pause" | "resume" | "kill" | "start" | "stop" | "link" | "heal"
+		do:  "pause" | "resume" | "kill" | "start" | "stop" | "link" | "heal" | "hosts" | "discovery"
 		who: #Who | *"all"
 
 		// Of links: from who to these ("rest" are all others), in one direction.
@@ -21,6 +21,10 @@
 		delay:     #Duration | *"0ms"
 		spread:    #Duration | *"0ms"
 		duplicate: number & >=0 & <=1 | *0
+
+		// Of hosts and discovery, as they are reached from who: what their links do, and of how many hosts from the first on. With slow, delay is for each piece.
+		mode:  "open" | "slow" | "reset" | "silent" | "refused" | "no-back" | *"open"
+		hosts: int & >=1 | *1
 	}]
 
 	// Members that may be removed: those that a step is about and that cannot be told from dead.
--- a/lab/world.go
+++ b/lab/world.go
@@ -18,7 +18,9 @@
 	Result func([]byte) []byte
 	// Each changes what a host is like, by its number; may be nil.
 	Each func(i int, h *standin.HostConfig)
-	ID   func([]byte) string // finds the ledger's name of a job in its data; nil for its id
+	// Links leads the dispatcher's connections to hosts and discovery over links that can be broken.
+	Links bool
+	ID    func([]byte) string // finds the ledger's name of a job in its data; nil for its id
 }
 
 // World is a fleet of stand-in hosts with discovery, for one dispatcher.
@@ -26,7 +28,9 @@
 	Hosts     []*standin.Host
 	Discovery *standin.Discovery
 	Ledger    standin.Ledger
-	Listen    string // where the dispatcher is to listen
+	Listen    string     // where the dispatcher is to listen
+	HostLinks []*TCPLink // by host, where there are links
+	ListLink  *TCPLink   // to discovery
 	callbacks *http.Transport
 }
 
@@ -40,6 +44,12 @@
 	if w.Discovery, err = standin.StartDiscovery(); err != nil {
 		return nil, err
 	}
+	if c.Links {
+		if w.ListLink, err = NewTCPLink(w.Discovery.Address); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
 	for i := range c.Hosts {
 		if _, err := w.Add(c, fmt.Sprintf("s-%08x", 0x5be20000+i), i); err != nil {
 			w.Close()
@@ -61,12 +71,26 @@
 		return nil, err
 	}
 	w.Hosts = append(w.Hosts, h)
-	w.Discovery.Set(h.Member())
+	m := h.Member()
+	if c.Links {
+		link, err := NewTCPLink(h.Address)
+		if err != nil {
+			return nil, err
+		}
+		w.HostLinks = append(w.HostLinks, link)
+		m.HostPort = link.Address
+	}
+	w.Discovery.Set(m)
 	return h, nil
 }
 
 // Close ends all stand-ins.
 func (w *World) Close() {
+	for _, l := range append(w.HostLinks, w.ListLink) {
+		if l != nil {
+			l.Close()
+		}
+	}
 	for _, h := range w.Hosts {
 		h.Close()
 	}
@@ -77,5 +101,9 @@
 // Daemon starts a dispatcher for this world.
 func (w *World) Daemon(ctx context.Context, c DaemonConfig) (*Process, error) {
 	c.Known = w.Discovery.List()
-	return StartDaemon(ctx, c, w.Listen, w.Discovery.Address)
+	list := w.Discovery.Address
+	if w.ListLink != nil {
+		list = w.ListLink.Address
+	}
+	return StartDaemon(ctx, c, w.Listen, list)
 }
--- a/member/charge.go
+++ b/member/charge.go
@@ -78,7 +78,7 @@
 	doubts := m.doubts()
 	for i := range m.view.Members { // in order: what is sent must not hang on a map's
 		s := m.subjects[i]
-		if s == nil || m.bits[i] == 0 {
+		if s == nil || m.bits[i] == 0 || m.gone.Has(i) {
 			continue
 		}
 		silence := m.now - s.heard
@@ -138,9 +138,13 @@
 	}()
 	clear(m.down)
 	clear(m.gone)
+	m.willing = 0
 	for i, c := range m.charges {
 		if c.Left || m.replaced(i) { // it may have voted, and lives: not gone for that
 			m.down.Set(i)
+			if c.Silent|c.Refused == 0 {
+				m.willing++
+			}
 		}
 	}
 	// A refusal is a proof and not a doubt: two watchers are enough, against a mistaken address, or one where no other is left. The
@@ -267,7 +271,7 @@
 // alone: with those that are down, and those that may be beyond a cut, too few are left to agree on anything.
 func (m *Member) alone() bool {
 	n := len(m.view.Members)
-	return n-m.down.Count()-m.beyond < quorum(n, m.gone) || m.doubts()
+	return n-m.down.Count()+m.willing-m.beyond < quorum(n, m.gone) || m.doubts()
 }
 
 // replaced: a later process of the same name wants in.
--- a/member/member.go
+++ b/member/member.go
@@ -154,6 +154,7 @@
 	down     Bits
 	gone     Bits
 	beyond   int           // how many may be beyond a cut
+	willing  int           // how many are down for that they leave or are replaced alone, and vote
 	dead     Bits          // proven, by what this member has heard or by others' word
 	again    Bits          // who asks to join with a higher incarnation
 	deaths   int           // changes of these two
@@ -415,6 +416,9 @@
 			m.heardOf(i, s)
 		}
 	}
+	if msg.View == m.view.Number && m.follow(msg.Steps) {
+		return // who was removed says so as it goes
+	}
 	switch {
 	case msg.View < m.view.Number: // behind: tell what it has missed; a ping would be asked again and again
 		if msg.Kind != Pong || len(msg.Steps) == 0 {
@@ -495,7 +499,7 @@
 		m.next++
 		switch {
 		case m.gone.Has(w[i]):
-		case m.down.Has(w[i]): // it should hear of that; what else is new would be lost on it
+		case m.down.Has(w[i]) && m.charges[w[i]].Silent|m.charges[w[i]].Refused != 0: // it should hear of that; what else is new would be lost on it
 			m.send(m.view.Members[w[i]].Address, &Message{Kind: Beat, Digest: m.digest, Charges: []Charge{m.charges[w[i]]}})
 		default:
 			m.send(m.view.Members[w[i]].Address, m.payload(&Message{Kind: Beat}, i))
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -74,12 +74,12 @@
 	w.queue = slices.Delete(w.queue, k, k+1)
 	switch {
 	case s.refused && w.up[s.to]:
-		w.members[s.to].Refused(w.now, at(s.from))
+		w.members[s.to].Refused(w.now, w.members[s.from].Self().Address)
 	case s.refused:
 	case !w.up[s.to]:
 		w.queue = append(w.queue, sending{from: s.to, to: s.from, refused: true})
 	default:
-		w.members[s.to].Receive(w.now, at(s.from), s.msg)
+		w.members[s.to].Receive(w.now, w.members[s.from].Self().Address, s.msg)
 		w.collect(s.to)
 	}
 }
@@ -348,3 +348,58 @@
 		}
 	})
 }
+
+// TestUpgrade: two processes of one name at once, as in an upgrade: the later one takes the place of the one before, which says so and asks
+// seldom; when the later one leaves, the one before is let in again.
+func TestUpgrade(t *testing.T) {
+	w := newNet(t, 3, 0)
+	next := New(Config{Self: Peer{ID: ID{Name: at(2), Inc: 1000}, Address: "m2'", Number: 2}, Seeds: []string{at(0), at(1)}, Fleet: 3}, w.now, 77)
+	w.members, w.up = append(w.members, next), append(w.up, true)
+	w.run(8 * time.Second)
+	if next.State() != Inside || w.members[2].State() != Superseded || len(next.View().Members) != 3 || w.members[2].InTouch() {
+		t.Fatalf("new: %s\nold: %s", next.Dump(), w.members[2].Dump())
+	}
+	v := next.View().Number
+	w.run(10 * time.Second)
+	if next.View().Number != v {
+		t.Errorf("they go on pushing each other out: view %d after %d", next.View().Number, v)
+	}
+	next.Leave(w.now)
+	w.run(20 * time.Second)
+	if next.State() != Left || w.members[2].State() != Inside {
+		t.Errorf("new: %s\nold: %s", next.Dump(), w.members[2].Dump())
+	}
+}
+
+// TestLeave: one that leaves is out at once, and does not wait when it comes back; the last two agree as well.
+func TestLeave(t *testing.T) {
+	w := newNet(t, 3, 0)
+	for _, left := range []int{2, 1} {
+		w.members[left].Leave(w.now)
+		w.run(3 * time.Second)
+		if w.members[left].State() != Left || len(w.members[0].View().Members) != left {
+			t.Fatalf("%d: %s; who stays: %s", left, w.members[left].Dump(), w.members[0].Dump())
+		}
+		w.up[left] = false
+	}
+	w.members[1], w.up[1] = w.make(1, 50), true
+	w.run(4 * time.Second)
+	if len(w.members[0].View().Members) != 2 {
+		t.Errorf("back: %s", w.members[0].Dump())
+	}
+}
+
+// TestTokens: addresses that are not a sender's own, and tokens that are not its, let nobody in.
+func TestTokens(t *testing.T) {
+	w := newNet(t, 3, 0)
+	self := Peer{ID: ID{Name: "m9", Inc: 1}, Address: "elsewhere"}
+	for _, m := range []*Message{{Kind: Hello, From: self.ID, Peer: &self}, {Kind: Join, From: self.ID, Peer: &self, Token: 5}, {Kind: Join, From: self.ID, Peer: &self, Token: w.members[0].token("elsewhere", self.ID)}} {
+		w.members[0].Receive(w.now, "m9", m)
+		if out, _ := w.members[0].Take(); len(out) != 0 {
+			t.Errorf("%d answered with %+v", m.Kind, out[0].Message)
+		}
+	}
+	if n := w.members[0].Dropped().Malformed; n != 3 || len(w.members[0].joins) != 0 {
+		t.Errorf("%d dropped, %d wait", n, len(w.members[0].joins))
+	}
+}
--- a/member/round.go
+++ b/member/round.go
@@ -182,7 +182,7 @@
 			rank++
 		}
 	}
-	if m.down.Has(m.at) && m.state != Leaving {
+	if m.down.Has(m.at) { // who leaves votes, and lets others propose
 		return
 	}
 	if m.alone() { // nobody to do it with; and when there is, the accused should speak first
@@ -247,6 +247,9 @@
 		}
 	}
 	if next.Index(m.Self().ID) < 0 {
+		for _, w := range m.targets { // the one vote that was missing may have been this one's, and nobody else knows
+			m.send(m.view.Members[w].Address, &Message{Kind: Beat, Steps: []Step{s}})
+		}
 		_, same := next.find(m.Self().ID.Name)
 		switch {
 		case same:
