Settle seven in ten killed at 600 and equal halves at 300; a host for each process

Cause, seen in virtual time with dumps each second: after seven in ten of 600 were killed all knew it in 5 s, and no view followed, as every survivor's bucket stood at -110 bytes: what was said of the dead is passed on no more, so digests differed for ever and each had all charges sent anew every 2 s. And with equal halves of 300 cut apart one side took itself for more than half, as a member without a watcher there was charged by nobody: its vote was open as they met and removed three. With 30 processes a port that had just been found free was taken by a connection.

Change: the digest leaves out the dead; the accused's own word is passed on first; where a quarter is charged a few more are taken for beyond the cut; the rig gives each process a host of loopback of its own.

--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -209,18 +209,20 @@
 	return k.sets[name]
 }
 
+// at is an address of a dispatcher's own: each has a host of loopback for itself, as on addresses that others take their ports from one that
+// has just been found free may be gone. Two runs on one machine have different networks.
+func (k *cluster) at(i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 16+os.Getpid()>>8&127, os.Getpid()&255, 1+i, port)
+}
+
 // open starts all and waits until they are together.
 func (k *cluster) open(ctx context.Context) (err error) {
 	if k.dir, err = os.MkdirTemp("", "liftlab-cluster-"); err != nil {
 		return err
 	}
 	var real []string
-	for range k.n {
-		at, err := freeUDP()
-		if err != nil {
-			return err
-		}
-		real = append(real, at)
+	for i := range k.n {
+		real = append(real, k.at(i, 7946))
 	}
 	if k.links, err = NewLinks(real, k.Seed); err != nil {
 		return err
@@ -234,12 +236,10 @@
 	for i := range k.n {
 		m := &clusterMember{i: i}
 		k.members = append(k.members, m)
-		if m.world, err = StartWorld(WorldConfig{Hosts: 3, Slots: 4, Queue: 8, Job: 20 * time.Millisecond, Links: true}); err != nil {
-			return err
-		}
-		if m.control, err = freeAddress(); err != nil {
+		if m.world, err = StartWorld(WorldConfig{Hosts: 3, Slots: 4, Queue: 8, Job: 20 * time.Millisecond, Links: true, Listen: k.at(i, 8443)}); err != nil {
 			return err
 		}
+		m.control = k.at(i, 9443)
 		m.settings = filepath.Join(k.dir, fmt.Sprintf("n%d.cue", i))
 		text := fmt.Sprintf("membership: {listen: %q, advertise: %q, cluster: \"lab\", seeds: [%s]}\n", real[i], k.links.Known(i), strings.Join(seeds, ", "))
 		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
--- a/lab/world.go
+++ b/lab/world.go
@@ -20,7 +20,9 @@
 	Each func(i int, h *standin.HostConfig)
 	// Links leads the dispatcher's connections to hosts and discovery over links that can be broken.
 	Links bool
-	ID    func([]byte) string // finds the ledger's name of a job in its data; nil for its id
+	// Listen is where the dispatcher is to listen; empty: any free address.
+	Listen string
+	ID     func([]byte) string // finds the ledger's name of a job in its data; nil for its id
 }
 
 // World is a fleet of stand-in hosts with discovery, for one dispatcher.
@@ -38,8 +40,10 @@
 func StartWorld(c WorldConfig) (*World, error) {
 	w := &World{callbacks: &http.Transport{MaxIdleConnsPerHost: 128, MaxConnsPerHost: 128}}
 	var err error
-	if w.Listen, err = freeAddress(); err != nil {
-		return nil, err
+	if w.Listen = c.Listen; w.Listen == "" {
+		if w.Listen, err = freeAddress(); err != nil {
+			return nil, err
+		}
 	}
 	if w.Discovery, err = standin.StartDiscovery(); err != nil {
 		return nil, err
--- a/member/charge.go
+++ b/member/charge.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/bits"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // merge takes a charge: a later generation of the subject's clears what was said of the one before, and of one generation all bits count.
@@ -25,11 +27,10 @@
 		return
 	}
 	raised := next.Gen > have.Gen || next.Left && !have.Left
-	m.digest ^= mix(*have) ^ mix(next)
 	*have = next
 	m.news, m.changed = true, m.now
 	if raised || !m.dead.Has(c.Subject) { // of the dead nothing more is news
-		m.heat(c.Subject)
+		m.heat(c.Subject, raised)
 	}
 	if c.Subject == m.at && next.Silent|next.Refused != 0 && m.state == Inside && m.Without&Word == 0 { // the accused speaks
 		m.merge(Charge{Subject: m.at, Gen: next.Gen + 1})
@@ -50,11 +51,19 @@
 }
 
 // heat has a charge passed on.
-func (m *Member) heat(subject int) {
+func (m *Member) heat(subject int, first bool) {
 	// Half of the watchers are enough for all to hear of it, even where a third gets lost; what that misses the digests show.
 	times := (len(m.toldOf) + 1) / 2
-	if i := slices.IndexFunc(m.hot, func(h hot) bool { return h.subject == subject }); i >= 0 {
-		m.hot[i].left = times
+	i := slices.IndexFunc(m.hot, func(h hot) bool { return h.subject == subject })
+	if first { // the accused's own word goes before all charges, and twice as often
+		if i >= 0 {
+			m.hot = slices.Delete(m.hot, i, i+1)
+		}
+		m.hot = slices.Insert(m.hot, 0, hot{subject, 2 * times})
+		return
+	}
+	if i >= 0 {
+		m.hot[i].left = max(m.hot[i].left, times)
 		return
 	}
 	m.hot = append(m.hot, hot{subject, times})
@@ -66,8 +75,11 @@
 		return
 	}
 	m.reheated = m.now
+	for i := range m.toldDead {
+		m.toldDead[i] = -1
+	}
 	for i, c := range m.charges {
-		if mix(c) != 0 {
+		if mix(c) != 0 && !m.dead.Has(i) {
 			m.hot = append(m.hot, hot{i, 1})
 		}
 	}
@@ -177,6 +189,13 @@
 		m.deaths++
 		m.changed = m.now
 	}
+	// The digest leaves out what was said of the dead: it is not passed on any more.
+	m.digest = uint32(xxhash.Sum64(m.dead))
+	for i, c := range m.charges {
+		if !m.dead.Has(i) {
+			m.digest ^= mix(c)
+		}
+	}
 	m.down.or(m.gone)
 	// Silence proves nothing: a member is down when those charge it that are not. Watchers that are down say nothing, and what they said
 	// before counts for nothing: each that goes may make others go.
@@ -202,8 +221,8 @@
 			m.beyond++
 		}
 	}
-	if 4*some > len(m.charges) {
-		m.beyond = some
+	if 4*some > len(m.charges) { // and a few of them have no watcher here at all
+		m.beyond = some + some/16 + 1
 	}
 	for i := range m.charges {
 		if c := m.charges[i]; c.Silent|c.Refused != 0 && m.replaced(i) && m.enough(i, c.Silent|c.Refused, m.down) {
--- a/member/member.go
+++ b/member/member.go
@@ -478,7 +478,7 @@
 		s.until = m.now + min(m.Silent<<min(s.refuted, 6), flapMost)
 		s.charged = 0
 		if c := m.charges[i]; c.Silent|c.Refused != 0 { // it should hear of it soon
-			m.heat(i)
+			m.heat(i, false)
 		}
 	}
 	s.heard, s.refusals = m.now, 0
