--- a/member/charge.go
+++ b/member/charge.go
@@ -90,14 +90,18 @@
 	doubts := m.doubts()
 	for i := range m.view.Members { // in order: what is sent must not hang on a map's
 		s := m.subjects[i]
-		if s == nil || m.bits[i] == 0 || m.gone.Has(i) {
+		if s == nil || m.bits[i] == 0 {
 			continue
 		}
 		silence := m.now - s.heard
 		if silence <= m.Ask {
 			continue
 		}
-		if m.now-s.asked >= max(m.Ask/4, silence/4) { // more than the two asks that are wanted in as long again, then fewer and fewer
+		every := max(m.Ask/4, silence/4)
+		if m.gone.Has(i) { // seldom: another process may be there, of another lineage
+			every = max(every, strayEvery)
+		}
+		if m.now-s.asked >= every { // more than the two asks that are wanted in as long again, then fewer and fewer
 			s.asked = m.now
 			// What is new would be lost on the dead, but the accused should know.
 			m.send(m.view.Members[i].Address, &Message{Kind: Ping, Digest: m.digest, Charges: []Charge{m.charges[i]}})
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -293,7 +294,12 @@
 }
 
 // TestRandom goes beyond the depth of the above with random steps in any order, also of messages repeated and kept back.
+//
+// The seed is fixed, so that every run has the same verdict; -rapid.seed and -rapid.checks look further.
 func TestRandom(t *testing.T) {
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		flag.Set("rapid.seed", "7")
+	}
 	rapid.Check(t, func(r *rapid.T) {
 		n := rapid.IntRange(2, 7).Draw(r, "members")
 		w := newNet(t, n, 0)
