Say in one place what a member does that a view is without

Need: the same choice (superseded, left, removed) stood in the vote's and in the fetch's code. Change: Member.without.

--- a/member/join.go
+++ b/member/join.go
@@ -256,15 +256,8 @@
 		return
 	}
 	if v.Index(m.Self().ID) < 0 {
-		_, same := v.find(m.Self().ID.Name)
-		switch {
-		case m.view == nil: // not in any more: it asks again
-		case same:
-			m.away(Superseded, "another process of this name is in")
-		case m.state == Leaving:
-			m.away(Left, "left")
-		default:
-			m.away(Outside, "removed by the others")
+		if m.view != nil { // else it is not in any more, and asks again
+			m.without(v)
 		}
 		return
 	}
--- a/member/round.go
+++ b/member/round.go
@@ -250,20 +250,25 @@
 		for _, w := range m.targets { // the one vote that was missing may have been this one's, and nobody else knows
 			m.send(m.view.Members[w].Address, &Message{Kind: Beat, Steps: []Step{s}})
 		}
-		_, same := next.find(m.Self().ID.Name)
-		switch {
-		case same:
-			m.away(Superseded, "another process of this name is in")
-		case m.state == Leaving:
-			m.away(Left, "left")
-		default:
-			m.away(Outside, "removed by the others")
-		}
+		m.without(next)
 		return
 	}
 	m.install(next, reason(removed, len(s.Value.Joined)))
 }
 
+// without takes this member out of a view that it is not in.
+func (m *Member) without(v *View) {
+	_, same := v.find(m.Self().ID.Name)
+	switch {
+	case same:
+		m.away(Superseded, "another process of this name is in")
+	case m.state == Leaving:
+		m.away(Left, "left")
+	default:
+		m.away(Outside, "removed by the others")
+	}
+}
+
 func reason(removed, joined int) string {
 	switch {
 	case removed == 0:
