Let the surer sign that a turned away job asks for fade as jobs end

After two attempts that were turned away route() asks for a worker with room for one and a half jobs more; where k was learnt to be one no worker ever shows that. Eight such jobs at the head of the lane then end drain()'s look at it, so that nothing is sent at all until their patience ends, and without starts k never grows again. To blame: want in route, misses in drain.

Change: what is asked for beyond the job's own room fades within k mean running times a try.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -238,7 +238,12 @@
 // where crossings have a price the period of the own zone first, that of all only past k there. Doubtful
 // workers come after all others.
 func (d *Dispatcher) route(now time.Duration, r *request) *worker {
-	want := r.need + 0.5*float64(len(r.tries)) // surer signs each time: guesses must not use up the attempts
+	want := r.need
+	if n := len(r.tries); n > 0 {
+		// Surer signs each time: guesses must not use up the attempts. They fade as the k jobs that were there
+		// end: what asks for more than a small k gives would wait for ever, and keep all behind it waiting.
+		want += 0.5 * max(0, float64(n)-(now-r.tries[n-1].sent).Seconds()/(threshold*d.mean))
+	}
 	if d.s.TellsStart {
 		want -= 0.5 // a job that waits is seen and mended
 	}
