--- a/balance/balance.go
+++ b/balance/balance.go
@@ -240,7 +240,7 @@
 func (d *Dispatcher) route(now time.Duration, r *request) *worker {
 	want := r.need
 	if n := len(r.tries); n > 0 {
-		// Surer signs each time: guesses must not use up the attempts. They fade as the k jobs that were there
+		// Surer signs each time: guesses must not use up the attempts. They fade as the k jobs that were met
 		// end: what asks for more than a small k gives would wait for ever, and keep all behind it waiting.
 		want += 0.5 * max(0, float64(n)-(now-r.tries[n-1].sent).Seconds()/(threshold*d.mean))
 	}
