--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -30,6 +30,7 @@
 	ID     func(body []byte) string // finds the ledger's name of a job; nil for its id
 	Starts bool                     // it tells of starts
 	Ledger *Ledger
+	Took   func() // told of each job that is handed in, if it is set; must not block
 	// Dispatcher is where clients connect and where call-backs go.
 	Dispatcher string
 	// Callbacks carries call-backs; nil for a client of the host's own.
@@ -125,6 +126,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if h.Took != nil {
+		h.Took()
+	}
 	ctx, stop := context.WithCancel(h.ctx)
 	h.mu.Lock()
 	h.open[id] = stop
--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -21,6 +21,7 @@
 
 	"liftgauge/internal/gossip"
 	"liftgauge/internal/settings/cuefile"
+	"liftgauge/internal/standin"
 )
 
 //go:embed scenario.cue
@@ -112,7 +113,9 @@
 	Failed    int64    `json:"failed"`
 	Broken    int64    `json:"broken"` // no whole answer, of dispatchers that lived
 	Killed    int64    `json:"broken_of_killed"`
-	Twice     int      `json:"run_twice"` // of those that must not
+	Twice     int      `json:"run_twice"`             // of those that must not
+	LateMS    float64  `json:"latest_after_drain_ms"` // of all jobs, from when the dispatcher counts as told
+	Fullest   float64  `json:"fullest_cold_host"`     // work within the fall time over what pushes a cold host over: 1 does
 	Carried   int64    `json:"datagrams"`
 	Lost      int64    `json:"datagrams_lost"`
 }
@@ -126,6 +129,8 @@
 	control  string
 	settings string
 	log      *os.File
+	hosts    []*hostJudge
+	unheard  bool // discovery is not open to it
 
 	mu     sync.Mutex
 	alive  bool
@@ -236,7 +241,12 @@
 	for i := range k.n {
 		m := &clusterMember{i: i}
 		k.members = append(k.members, m)
-		if m.world, err = StartWorld(WorldConfig{Hosts: 3, Slots: 4, Queue: 8, Job: 20 * time.Millisecond, Links: true, Listen: k.at(i, 8443)}); err != nil {
+		const slots, job = 4, 20 * time.Millisecond
+		if m.world, err = StartWorld(WorldConfig{Hosts: 3, Slots: slots, Queue: 8, Job: job, Links: true, Listen: k.at(i, 8443), Each: func(_ int, h *standin.HostConfig) {
+			judge := &hostJudge{rules: rulesOfClusters(slots)}
+			m.hosts = append(m.hosts, judge)
+			h.Took = func() { judge.took(time.Since(k.began), job) }
+		}}); err != nil {
 			return err
 		}
 		m.control = k.at(i, 9443)
@@ -285,6 +295,13 @@
 	return nil
 }
 
+// runs says whether its process is there and goes on.
+func (m *clusterMember) runs() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.alive && !m.paused
+}
+
 func (m *clusterMember) wasCut() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -334,13 +351,30 @@
 		}
 		return nil
 	}
-	if s.Do == "hosts" || s.Do == "discovery" {
+	switch s.Do {
+	case "drain", "return":
+		for _, i := range who {
+			m := k.members[i]
+			for h := range min(s.Hosts, len(m.hosts)) {
+				if s.Do == "drain" {
+					m.world.Say(h, "DRAINING", time.Time{})
+					m.hosts[h].drains(time.Since(k.began), !m.unheard && m.runs())
+					continue
+				}
+				m.hosts[h].returns(time.Since(k.began))
+				m.world.Say(h, "SERVING", time.Now())
+			}
+		}
+		return nil
+	case "hosts", "discovery":
 		delay, _ := time.ParseDuration(s.Delay)
 		for _, i := range who {
 			w := k.members[i].world
 			links := []*TCPLink{w.ListLink}
 			if s.Do == "hosts" {
 				links = w.HostLinks[:min(s.Hosts, len(w.HostLinks))]
+			} else {
+				k.members[i].unheard = s.Mode != Open
 			}
 			for _, l := range links {
 				if err := l.Set(s.Mode, delay); err != nil {
@@ -432,6 +466,15 @@
 			}
 		}
 	}
+	for _, m := range k.members {
+		for i, h := range m.hosts {
+			broken, late, fullest := h.verdict()
+			k.report.LateMS, k.report.Fullest = max(k.report.LateMS, float64(late)/1e6), max(k.report.Fullest, fullest)
+			for _, b := range broken[:min(1, len(broken))] {
+				k.breach("host %d of n%02d, %d times: %s", i, m.i, len(broken), b)
+			}
+		}
+	}
 	if k.report.Broken -= k.report.Killed; k.report.Broken > 0 {
 		k.breach("%d messages of dispatchers that lived got no whole answer", k.report.Broken)
 	}
--- a/lab/scenario.cue
+++ b/lab/scenario.cue
@@ -12,7 +12,7 @@
 
 	steps: [...{
 		at:  #Duration
-		do:  "pause" | "resume" | "kill" | "start" | "stop" | "link" | "heal" | "hosts" | "discovery"
+		do:  "pause" | "resume" | "kill" | "start" | "stop" | "link" | "heal" | "hosts" | "discovery" | "drain" | "return"
 		who: #Who | *"all"
 
 		// Of links: from who to these ("rest" are all others), in one direction.
@@ -24,7 +24,7 @@
 
 		// Of hosts and discovery, as they are reached from who: what their links do, and of how many hosts from the first on. With slow, delay is for each piece.
 		mode:  "open" | "slow" | "reset" | "silent" | "refused" | "no-back" | *"open"
-		hosts: int & >=1 | *1
+		hosts: int & >=1 | *1 // as well those that discovery lists as draining (drain), or again as processes that have just started (return)
 	}]
 
 	// Members that may be removed: those that a step is about and that cannot be told from dead.
--- a/lab/world.go
+++ b/lab/world.go
@@ -88,6 +88,19 @@
 	return h, nil
 }
 
+// Say lists the host of that number in another phase, and as a process that started at another time.
+func (w *World) Say(i int, phase string, upSince time.Time) {
+	m := w.Hosts[i].Member()
+	if i < len(w.HostLinks) {
+		m.HostPort = w.HostLinks[i].Address
+	}
+	m.Phase = phase
+	if !upSince.IsZero() {
+		m.UpSince = upSince.UnixMilli()
+	}
+	w.Discovery.Set(m)
+}
+
 // Close ends all stand-ins.
 func (w *World) Close() {
 	for _, l := range append(w.HostLinks, w.ListLink) {
