Play what membership buys; give new workers turns after a change of the dispatchers' count

Need: what a dispatcher gains by knowing who lives was never measured.

What never had a turn now counts as long ago.

Without talk nothing changes: Among is then never called.

--- a/balance/handover_test.go
+++ b/balance/handover_test.go
@@ -128,3 +128,31 @@
 		t.Error("no send after an absurd word")
 	}
 }
+
+// TestAmongNewWorkers: one of many dispatchers, with few jobs on a large fleet, gives workers that have just started their share though the
+// count of dispatchers has changed: what never had a turn can have no second one.
+func TestAmongNewWorkers(t *testing.T) {
+	set := settings()
+	set.Dispatchers, set.OverloadFactor = 300, 1e6 // every turn that a cold worker may take it takes
+	var ws []Worker
+	for i := range 100 {
+		ws = append(ws, Worker{ID: WorkerID(i + 1), Weight: 1, Cell: i / 4})
+	}
+	h := newHost(t, set, ws...)
+	h.d.Among(h.now, 7, 90, 90)
+	for i := 0; i < len(ws); i += 2 {
+		ws[i].Up = h.now
+	}
+	h.d.List(h.now, ListFull, ws)
+	cold := 0
+	for id := JobID(1); id <= 60; id++ {
+		h.job(id, 0)
+		if len(h.sentFor[id]) > 0 {
+			cold += int(h.sentFor[id][0]) % 2
+			h.end(id, OK)
+		}
+	}
+	if cold < 15 {
+		t.Errorf("%d of 60 jobs went to the half that is new", cold)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -175,7 +175,7 @@
 
 // newWorker makes a record of a worker that is new or whose process restarted.
 func (d *Dispatcher) newWorker(e Worker) *worker {
-	w := &worker{kind: d.kindOf(e.Kind), slow: 1, turn: -1}
+	w := &worker{kind: d.kindOf(e.Kind), slow: 1, turn: math.MinInt32} // it had none: the next is no second one
 	w.others = w.kind.usual
 	if old := d.workers[e.ID]; old != nil {
 		w.nominal, w.slow, w.slowAt = old.nominal, old.slow, old.slowAt
--- a/cmd/liftlab/fleet.go
+++ b/cmd/liftlab/fleet.go
@@ -62,6 +62,9 @@
 	Lost    int64  `json:"lost"`
 }
 
+// membersTake is how long membership takes from a death to a view: seven in ten of 300 killed at once, by "liftlab members".
+const membersTake = 7 * time.Second
+
 // fleetTotal is what days of one kind and policy have in common.
 type fleetTotal struct {
 	Day      string  `json:"day"`
@@ -98,9 +101,10 @@
 		Short: "Play days of many dispatchers and workers in virtual time, and count",
 		Long: "The real decision module runs in each simulated dispatcher. Days: calm (traffic shifts and a burst), roll (workers replaced,\n" +
 			"dispatchers restarted), herd (most dispatchers are killed during a release), zone (a zone is lost and returns cold), split (a\n" +
-			"zone is cut off, answers are lost), join (six in ten workers are replaced within 7 s); all plays each. A site's own days, at\n" +
-			"its own size where none is given: quiet, trouble, overload, big; own plays each. Policies: module, and to\n" +
-			"compare with random, rounds, two-choices and late-truth (it sees the state of all workers half a second late). Several days,\n" +
+			"zone is cut off, answers are lost), join (six in ten workers are replaced within 7 s), kill (seven in ten dispatchers are\n" +
+			"killed and stay away, then workers are released in batches); all plays each. A site's own days, at\n" +
+			"its own size where none is given: quiet, trouble, overload, big; own plays each. Policies: module, members\n" +
+			"(the same, told who of the dispatchers lives 7 s after a change) and to compare with random, rounds, two-choices and late-truth (it sees the state of all workers half a second late). Several days,\n" +
 			"policies and seeds are played side by side and make a table. The last line is JSON.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -195,7 +199,9 @@
 	if err != nil {
 		return fleetReport{}, err
 	}
-	w.Policy = sim.PolicyNamed(policy)
+	if w.Policy = sim.PolicyNamed(policy); policy == "members" {
+		w.Members = membersTake
+	}
 	began := time.Now()
 	r := sim.Run(w, seed)
 	f := fleetReport{Site: from.Name, Day: day, Policy: policy, Seed: seed, Dispatchers: len(w.Dispatchers), Workers: len(r.Boxes), G: r.G, Wasted: r.Wasted, Jobs: len(w.Arrivals), Service: r.Service,
--- a/sim/dispatcher.go
+++ b/sim/dispatcher.go
@@ -89,6 +89,33 @@
 	}
 	d.policy.Start(d.clock())
 	d.policy.List(d.clock(), balance.ListCached, d.kept)
+	if !first {
+		r.membersChange()
+	}
+}
+
+// membersChange has all that live then hear of who does, by rank, once membership has agreed on it.
+func (r *run) membersChange() {
+	if r.Members == 0 {
+		return
+	}
+	r.after(r.Members, func() {
+		var live []*dispatcher
+		zone := make([]int, r.Stations)
+		for _, d := range r.dispatchers {
+			if !d.dead {
+				live = append(live, d)
+				zone[d.station]++
+			}
+		}
+		for rank, d := range live {
+			if p, ok := d.policy.(interface {
+				Among(now time.Duration, number, dispatchers, inZone int)
+			}); ok {
+				p.Among(d.clock(), rank, len(live), zone[d.station])
+			}
+		}
+	})
 }
 
 func (d *dispatcher) clock() time.Duration { return epoch + d.r.now }
@@ -413,6 +440,7 @@
 		return
 	}
 	d.dead, d.leaving = true, false
+	d.r.membersChange()
 	for i, n := range d.idle {
 		d.r.boxes[i].conns = max(d.r.boxes[i].conns-n, 0)
 	}
--- a/sim/policies.go
+++ b/sim/policies.go
@@ -53,12 +53,12 @@
 }
 
 // PolicyNames are the policies that PolicyNamed knows.
-var PolicyNames = []string{"module", "random", "rounds", "two-choices", "late-truth"}
+var PolicyNames = []string{"module", "members", "random", "rounds", "two-choices", "late-truth"}
 
 // PolicyNamed returns a policy by its name; nil: there is none.
 func PolicyNamed(name string) func(balance.Settings, uint64, balance.Actions) Policy {
 	switch name {
-	case "module":
+	case "module", "members": // the second is told who lives: World.Members
 		return Module
 	case "random":
 		return Plain(Random)
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -200,8 +200,10 @@
 	Attempts   int              // at most, for each job
 	Settings   balance.Settings // what else the module is told; classes, rules and numbers are filled in
 	Policy     func(s balance.Settings, seed uint64, do balance.Actions) Policy
-	End        time.Duration // the run ends when nothing is open any more, and then at the latest
-	Window     time.Duration // of the series in the result; 0: 10 s
+	// Members is how long after a dispatcher's death or return the others go by who lives; 0: they go by the settings always.
+	Members time.Duration
+	End     time.Duration // the run ends when nothing is open any more, and then at the latest
+	Window  time.Duration // of the series in the result; 0: 10 s
 	// Ended, if it is set, is told of every job's end, by its place among the arrivals.
 	Ended func(arrival int, at time.Duration, end End)
 }
--- a/sim/site/day.go
+++ b/sim/site/day.go
@@ -11,7 +11,7 @@
 )
 
 // FleetDays are days of many dispatchers: a deployment of the site's kind, but of any size.
-var FleetDays = []string{"calm", "roll", "herd", "zone", "split", "join"}
+var FleetDays = []string{"calm", "roll", "herd", "zone", "split", "join", "kill"}
 
 // OwnDays are the site's own, at the size that it has.
 //
@@ -42,6 +42,7 @@
 //   - zone: the boxes of a zone vanish for 5 s and return cold, another zone is cut off; one box in eight is bad;
 //   - split: a zone is cut off for 6 s, or a fifth of the boxes is silent; lists come late, answers are lost and connections
 //     reset under requests;
+//   - kill: seven in ten dispatchers are killed at once and stay away; then boxes are released in batches;
 //   - join: six in ten boxes are replaced within 7 s; some clients give up early or come again often.
 //
 // On these one of the site's troubles comes as well: on calm days one that is no fault.
@@ -326,6 +327,11 @@
 		for _, n := range rng.Perm(len(w.Dispatchers))[:(7*len(w.Dispatchers)+9)/10] {
 			w.Faults = append(w.Faults, sim.Fault{At: 11 * time.Second, Effect: sim.Dispatcher, Target: n, For: time.Second})
 		}
+	case "kill":
+		release()
+		for _, n := range rng.Perm(len(w.Dispatchers))[:(7*len(w.Dispatchers)+9)/10] {
+			w.Faults = append(w.Faults, sim.Fault{At: 2 * time.Second, Effect: sim.Dispatcher, Target: n})
+		}
 	case "zone":
 		bad(order)
 		lost := rng.IntN(zones)
--- a/sim/site/site_test.go
+++ b/sim/site/site_test.go
@@ -84,7 +84,7 @@
 	}
 	for day, want := range map[string]map[sim.Effect]int{
 		"calm": {}, "roll": {sim.BoxDrains: boxes / 2, sim.DispatcherEnds: n, sim.ListMoves: 1}, "herd": {sim.BoxDrains: boxes / 2},
-		"zone": {sim.StationBoxes: 1, sim.StationLinks: 1}, "split": {sim.ListsLate: 1, sim.Resets: 1, sim.AnswersLost: 1}, "join": {sim.BoxDrains: 6 * boxes / 10},
+		"zone": {sim.StationBoxes: 1, sim.StationLinks: 1}, "kill": {sim.BoxDrains: boxes / 2, sim.Dispatcher: 42}, "split": {sim.ListsLate: 1, sim.Resets: 1, sim.AnswersLost: 1}, "join": {sim.BoxDrains: 6 * boxes / 10},
 	} {
 		for seed := range uint64(6) {
 			w, err := trinidad.Day(day, n, boxes, seed)
