Measure what membership costs one daemon, also while spoilt datagrams come

Need: memory and CPU of a daemon with a view of hundreds were not known, as the rig has 60 processes at most, nor whether a flood of datagrams that are none of the protocol's slows jobs.

Change: liftlab member-cost runs the other members of the fleet in its own process, each on a socket of its own, and measures a real daemon without membership, with it, and under a flood, idle and under load, in one run.

--- a/cmd/liftlab/cluster.go
+++ b/cmd/liftlab/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -55,3 +56,29 @@
 	f.StringVar(&c.Daemon, "daemon", beside(), "the daemon's binary")
 	return cmd
 }
+
+func memberCostCommand() *cobra.Command {
+	c := lab.MemberCostConfig{}
+	cmd := &cobra.Command{
+		Use:   "member-cost",
+		Short: "Measure what membership costs one daemon in a fleet: memory, CPU, latency, also while spoilt datagrams come",
+		Long: "Measures a real daemon without membership, then one in a fleet whose other members run in this process, idle and under load, and at last while\n" +
+			"datagrams come that are none of the protocol's. The last line is JSON. Compare within one run.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c.Say = cmd.OutOrStdout()
+			r, err := lab.RunMemberCost(cmd.Context(), c)
+			if err != nil {
+				return err
+			}
+			return lastLine(cmd, r)
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&c.Members, "members", 300, "of the fleet, 2 to 1000")
+	f.DurationVar(&c.Length, "length", 15*time.Second, "of each part")
+	f.IntVar(&c.Flood, "flood", 10000, "spoilt datagrams a second; 0: none")
+	f.Uint64Var(&c.Seed, "seed", 1, "of what is sent")
+	f.StringVar(&c.Daemon, "daemon", beside(), "the daemon's binary")
+	return cmd
+}
--- a/lab/cluster_test.go
+++ b/lab/cluster_test.go
@@ -253,3 +253,18 @@
 		t.Error(err)
 	}
 }
+
+// TestMemberCost: a daemon in a small fleet serves on while datagrams come that are none of the protocol's.
+func TestMemberCost(t *testing.T) {
+	r, err := RunMemberCost(t.Context(), MemberCostConfig{Daemon: build(t), Members: 3, Length: 200 * time.Millisecond, Flood: 2000, Seed: 1, Say: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := r.Parts[len(r.Parts)-1]
+	if len(r.Parts) != 5 || r.Parts[0].InView != 0 || last.InView != 3 || last.Spoilt == 0 || last.Jobs == 0 || last.Unserved != 0 {
+		t.Errorf("%+v", r)
+	}
+	if _, err := RunMemberCost(t.Context(), MemberCostConfig{Members: 1}); err == nil {
+		t.Error("a fleet of one was taken")
+	}
+}
