Keep the rig's links on ports that the kernel gives to nobody else

To blame: NewTCPLink listened on port 0.

Change: links and daemons' addresses come from below the range that the kernel gives out.

--- a/lab/process.go
+++ b/lab/process.go
@@ -79,9 +79,19 @@
 	Kinds = []string{"full-box", "slow-box"}
 )
 
-// freeAddress finds a loopback address that nobody listens on right now. It is not one that the kernel gives to whoever asks for any
-// port or connects to somewhere: between here and the start of the program that is to listen there another would have it.
+// freeAddress finds a loopback address that nobody listens on right now, for a program that is to listen there.
 func freeAddress() (string, error) {
+	l, err := listenBelow()
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// listenBelow listens on a port of loopback that the kernel gives to nobody who asks for any port or connects to somewhere: where it is
+// closed for a while, or until a program listens there, another would have it.
+func listenBelow() (net.Listener, error) {
 	lowest := 32768
 	if text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
 		fmt.Sscan(string(text), &lowest)
@@ -91,11 +101,10 @@
 	err := errors.New("no ports below the kernel's own")
 	for try := 0; lowest > least && try < 100; try++ {
 		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", least+rand.IntN(lowest-least))); err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
+			return l, nil
 		}
 	}
-	return "", err
+	return nil, err
 }
 
 // configuration is the daemon's JSON.
--- a/lab/tcplinks.go
+++ b/lab/tcplinks.go
@@ -40,7 +40,7 @@
 
 // NewTCPLink opens a link to a target.
 func NewTCPLink(target string) (*TCPLink, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listenBelow() // it is closed and opened again
 	if err != nil {
 		return nil, err
 	}
