Check every address of membership's settings, and say what its proof lacks

Cause: only the first seed was checked, and octets over 255 and ports over 65535 passed "check", as the schema's pattern took any digits; no test held any of the settings' mistakes. Found by trying the issue's bad input by hand.

Change: one definition of an address for all fields; seven mistakes in TestMistakes.

--- a/internal/settings/cuefile/cuefile_test.go
+++ b/internal/settings/cuefile/cuefile_test.go
@@ -49,6 +49,13 @@
 		{"gearman: {\n listen: \"a:1\"\n functons: f: {}\n}", []string{"x.cue:3: gearman.functons: field not allowed"}},
 		{"gearman: {}", []string{"gearman.listen: "}},
 		{"sockets: 1\nsockets: 2", []string{"x.cue:"}},
+		{"membership: {\n listen: \"10.0.0.4\"\n seeds: [\"10.0.0.4:1\"]\n}", []string{"x.cue:2: membership.listen: invalid value"}},
+		{"membership: {\n listen: \"10.0.0.4:65536\"\n seeds: [\"10.0.0.4:1\"]\n}", []string{"x.cue:2: membership.listen: invalid value"}},
+		{"membership: {\n listen: \"10.0.0.256:1\"\n seeds: [\"10.0.0.4:1\"]\n}", []string{"x.cue:2: membership.listen: invalid value"}},
+		{"membership: {\n listen: \"10.0.0.4:1\"\n seeds: [\"10.0.0.4:1\", \"there\"]\n}", []string{"x.cue:3: membership.seeds.1: invalid value"}},
+		{"membership: {\n listen: \"10.0.0.4:1\"\n seeds: []\n}", []string{"membership.seeds: "}},
+		{"membership: {listen: \"10.0.0.4:1\"}", []string{"membership.seeds"}},
+		{"membership: {\n listen: \"10.0.0.4:65535\"\n seeds: [\"10.0.0.4:1\"]\n seed: 1\n}", []string{"x.cue:4: membership.seed: field not allowed"}},
 		{"gearman: {", []string{"x.cue:1: "}},
 	} {
 		_, err := Compile("x.cue", []byte(c.text))
--- a/internal/settings/cuefile/schema.cue
+++ b/internal/settings/cuefile/schema.cue
@@ -21,16 +21,19 @@
 	membership?: #Membership
 }
 
+// An IPv4 address and a port that others can reach.
+#UDPAddress: =~"^((25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])(\\.|:)){4}(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})$" & =~"^[0-9.]+:[0-9]+$"
+
 // Talk between the dispatchers of one fleet: who of them lives. The net must be trusted.
 #Membership: {
 	// An IPv4 address of this process's own, for UDP. Others see what it sends come from it.
-	listen:  =~"^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$"
+	listen:  #UDPAddress
 	// Where others reach it and see it come from, if something between translates addresses.
-	advertise?: =~"^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$"
+	advertise?: #UDPAddress
 	cluster:    string & !="" | *"liftgauge"
 
 	// Where members are found; in the same order everywhere. The first that lives begins a fleet that has none.
-	seeds: [=~"^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$", ...string]
+	seeds: [#UDPAddress, ...#UDPAddress]
 
 	roundTrip: #Duration | *"10ms" // the longest usual way there and back; times grow with it from 50ms on
 	silent?:   #Duration            // until a member that says nothing is charged; 6s: longer than any pause that is to be borne
