Wait for discovery's list in a new process, and repeat a failed call within a second

Lines: balance.Start (spread of half of what the settings allow between calls) and List (ListFailed: up to 20 s with 300); readiness that asked nobody for the list. Change: ListFirst, which the host sets: nothing is sent, and the process is not ready, before discovery has told what it has, for 8.5 s at most; the first call goes out within 20 ms for each dispatcher, 2 s at most, a failed one again within a second; a silent watch is broken after 2.6 s and made anew within 0.5 s, so that 2.6 + 0.5 + 2 of waiting in turn stay under 6.

--- a/balance/api.go
+++ b/balance/api.go
@@ -59,6 +59,7 @@
 	MustAsk      bool          // the list of workers comes only to those who ask for it
 	AskWithin    time.Duration
 	Follows      bool // the list at the start is that of a process that this one takes over from
+	ListFirst    bool // the host tells by Heard when discovery has told what it has; nothing is sent before
 	RoughWeights bool // listed weights are the size, more or less
 	TellsStart   bool // workers tell when a job starts
 	TellsWritten bool // the host tells by Written when an attempt is on its way; else it is so at once
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,7 +1,6 @@
 package balance
 
 // The decisions of a dispatcher. Its interface is api.go, what it goes by estimate.go, its memory state.go.
-//
 // The idea, after Boel and van Schuppen (report OS-R8820, sections 3 and 4): the own job count walks an even,
 // speed-proportional period of workers; past the threshold a job leaves its scheduled worker for the next
 // ready one in fixed order. All else is a departure on a condition; see docs/design.md.
@@ -21,6 +20,10 @@
 	crossing  = 0.1 // but for what a crossing takes: some 60 ms of the 0.5 s that a queue costs on average
 
 	memory = 4 * time.Second // so long jobs meet queues more often where one has met one
+
+	// Of the 6 s after which a change counts as told a call that hangs takes 2.5, and the next 2 in turn.
+	askAgain = time.Second
+	unheard  = 8500 * time.Millisecond // then the old list has to do: a process is to be ready in 10 s
 )
 
 // Start begins the dispatcher's work on the list that it last had.
@@ -28,11 +31,22 @@
 	if d.s.MustAsk && d.s.Follows {
 		d.ask(0) // it starts alone, and must not miss what the process before would have heard
 	} else if d.s.MustAsk { // one service lists for all: those that start together spread their calls
-		d.ask(min(d.s.AskWithin/2, time.Duration(d.s.Dispatchers)*100*time.Millisecond))
+		d.ask(min(2*askAgain, time.Duration(d.s.Dispatchers)*20*time.Millisecond))
+	}
+	if d.blind = d.s.ListFirst && !d.s.Follows; d.blind {
+		d.do.Timer(unheard, heardToken)
 	}
 	d.ticks()
 }
 
+// Heard notes that discovery has told what it has: it counts as told to a new process, which waits for it.
+func (d *Dispatcher) Heard(now time.Duration) {
+	if d.blind {
+		d.blind = false
+		d.changed(now)
+	}
+}
+
 // ask calls for the list at a seeded moment within a time.
 func (d *Dispatcher) ask(within time.Duration) {
 	d.do.Timer(time.Duration(d.rng.Float64()*float64(within)), watchToken)
@@ -41,31 +55,22 @@
 // List takes the list of workers or changes to it.
 func (d *Dispatcher) List(now time.Duration, form ListKind, entries []Worker) {
 	if form == ListFailed { // the list held so far holds on
-		// The service has been too busy for some 2 s: leave it as long, on average, or as all calls take.
-		d.ask(max(4*time.Second, min(2*d.s.AskWithin, time.Duration(d.s.Dispatchers)*100*time.Millisecond)))
+		d.ask(askAgain)
 		return
 	}
-	gone := func(w *worker) {
-		if w != nil {
-			w.State = Gone
-		}
-	}
 	for _, w := range d.known {
 		if form != ListChanges {
-			gone(w) // those still listed are set right below
+			w.State = Gone // those still listed are set right below
 		}
 	}
 	for _, e := range entries {
 		e.Weight = number(e.Weight)
 		w := d.workers[e.ID]
 		if e.State == Gone {
-			gone(w)
+			w.gone()
 			continue
 		}
 		if w == nil || e.Up != w.Up { // new, or its process restarted: nothing known of it holds any more
-			if gone(w); w != nil {
-				w.replaced = true // attempts that are out keep pointing at the old process
-			}
 			w = d.newWorker(e)
 		}
 		w.Worker, w.nominal = e, e.Weight
@@ -87,7 +92,6 @@
 		d.back = append(slices.DeleteFunc(d.back, func(b WorkerID) bool { return b == id }), id)
 		if w != nil && w.State != Gone {
 			e := w.Worker
-			w.State, w.replaced = Gone, true
 			n := d.newWorker(e)
 			if n.Worker, n.slow, n.slowAt = e, 1, 0; e.Up < since {
 				n.lostAt = now
@@ -110,13 +114,11 @@
 }
 
 // allowed: the rules and the operators let work go there.
-func (d *Dispatcher) allowed(w *worker) bool { return w.State == Ready && d.offline[w.ID] == 0 }
+func (d *Dispatcher) allowed(w *worker) bool {
+	return !d.blind && w.State == Ready && d.offline[w.ID] == 0
+}
 
-const ( // a job is offered to
-	nearPart   = iota // those of the own zone,
-	wholeFleet        // all,
-	otherZones        // or those of all others
-)
+const nearPart, wholeFleet, otherZones = 0, 1, 2 // a job is offered to the own zone, to all, or all others
 
 // period returns the ready workers of a class and their turns, in proportion to size and evenly spread.
 func (d *Dispatcher) period(class, part int) *period {
@@ -169,8 +171,7 @@
 }
 
 // ramp: a cold worker gets a share of its scheduled turns, half of what the rule allows, and no overflow,
-// drawn for each turn, so that nothing saved up can meet there. In an overload turns come faster: fewer count
-// as fewer jobs find room, as what is turned away counts too; but one job at a time may go there.
+// drawn for each turn: nothing saved up meets there. In an overload, where turns come faster, fewer count.
 func (d *Dispatcher) ramp(now time.Duration, r *request, w *worker, scheduled bool) bool {
 	c := d.warmth(now, w)
 	if c >= 1 || slices.Contains(d.back, w.ID) || w.Pulls {
@@ -184,6 +185,10 @@
 		return true // most jobs wait here
 	}
 	c *= d.s.OverloadFactor / 2 * max(0.3, d.placed) * (1 - d.turned)
+	if d.s.CrossZoneFee > 0 && w.Zone == d.s.Zone { // few may be left of its zone, whose turns are not for it
+		near, all := len(d.period(r.class, nearPart).members), len(d.period(r.class, wholeFleet).members)
+		c *= min(1, float64(near*max(1, d.s.Zones))/float64(all))
+	}
 	return scheduled && w.turn != d.count && draw < c && (d.count >= d.calm || d.count-w.turn > len(d.sorted))
 }
 
@@ -235,8 +240,7 @@
 }
 
 // route follows the period: the scheduled worker, or past k the next ready one in fixed order, wrapping;
-// where crossings have a price the period of the own zone first, that of all only past k there. Doubtful
-// workers come after all others.
+// where crossings have a price the own zone's first, that of all past k there. Doubtful workers come last.
 func (d *Dispatcher) route(now time.Duration, r *request) *worker {
 	want := r.need
 	if n := len(r.tries); n > 0 {
@@ -585,6 +589,8 @@
 	switch token & (1<<tokenBits - 1) {
 	case watchToken:
 		d.do.Watch()
+	case heardToken:
+		d.Heard(now)
 	case tickToken:
 		d.ticking = false
 		d.health(now)
@@ -648,9 +654,8 @@
 	i := len(r.tries) - 1
 	if r.out > 0 && d.s.TellsStart && r.tries[i].wrote > 0 && !r.tries[i].started &&
 		now-r.tries[i].wrote >= d.patience {
-		// It waits there. A safe job is taken back if another has room, but for the last two attempts, as it
-		// may run on all the same, and not where many are turned away: rooms are short there and it is next.
-		// Thin traffic learns of a queue only so: there a keyed job too, and all but the last attempt.
+		// It waits there. A safe job is taken back if another has room, but for the last two attempts (it may
+		// run on), and not where many are turned away. In thin traffic a keyed one too, but for the last.
 		a := &r.tries[i]
 		if !a.waits {
 			d.met(now, a.w, true)
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -27,9 +27,8 @@
 	zone.saw(now, queue, 0.15, 1)
 }
 
-// doubtful: a job of this dispatcher waits there, or some were lost there lately and this one must not be.
-// Where traffic is thin one that waited there lately is all that tells of the others' jobs.
-// Such a worker comes after all others: one that is silent holds few jobs, and it serves when it is needed.
+// doubtful: a job of this dispatcher waits there (in thin traffic: or did), or some were lost and this one
+// must not be. It comes after all others: one that is silent holds few jobs, and serves when needed.
 func (w *worker) doubtful(now time.Duration, r *request) bool {
 	return w.waits > 0 || now < w.fullTill || r.c.Effect == Unsafe && w.errs.lost(now) > 0.05
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -426,6 +427,63 @@
 	}
 }
 
+// TestAsksAgainSoon: a failed call to the list is made again within a second, however many dispatchers there are: what discovery
+// has counts as told 6 s after it could be reached.
+func TestAsksAgainSoon(t *testing.T) {
+	for _, n := range []int{1, 20, 300} {
+		s := settings()
+		s.FreeSlots, s.Dispatchers, s.MustAsk, s.AskWithin = -1, n, true, 10*time.Second
+		h := newHost(t, s, fleet(1, 1)...)
+		if h.run(h.now + 2*time.Second); h.watches != 1 {
+			t.Errorf("%d dispatchers: asked %d times in the first 2 s", n, h.watches)
+		}
+		for range 20 {
+			before := h.watches
+			h.d.List(h.now, ListFailed, nil)
+			if h.run(h.now + time.Second); h.watches != before+1 {
+				t.Errorf("%d dispatchers: asked %d times within a second of a failure", n, h.watches-before)
+			}
+		}
+	}
+}
+
+// TestNothingBeforeTheList: a process that has just started may hold an old list, and what discovery has counts as told to it. It
+// sends nothing before it has heard that, or for 8.5 s where discovery says nothing, and each job still gets its answer.
+func TestNothingBeforeTheList(t *testing.T) {
+	s := settings()
+	s.FreeSlots, s.MustAsk, s.ListFirst = -1, true, true
+	start := func() *host {
+		h := newHost(t, s, fleet(1, 1)...)
+		h.job(1, 0)
+		h.d.Job(h.now, Job{ID: 2, Class: 4, Left: 300 * ms, Slots: 1})
+		h.run(h.now + 2*time.Second)
+		h.d.List(h.now, ListFailed, nil)
+		if len(h.sends) > 0 || h.d.Sees() || h.answered[1] != "" || h.answered[2] != "failed" {
+			t.Errorf("before the list: sent to %v, sees %v, answers %v", h.sends, h.d.Sees(), h.answered)
+		}
+		return h
+	}
+	h := start()
+	h.d.List(h.now, ListChanges, []Worker{{ID: 1, Weight: 1, State: Draining}})
+	h.d.Heard(h.now)
+	if !reflect.DeepEqual(h.sends, []WorkerID{2}) || !h.d.Sees() {
+		t.Errorf("after the list: sent to %v, sees %v", h.sends, h.d.Sees())
+	}
+	h = start()
+	h.run(1008 * time.Second)
+	h.job(3, 0)
+	if len(h.sends) > 0 {
+		t.Errorf("sent to %v before 8.5 s", h.sends)
+	}
+	if h.run(1008*time.Second + 501*ms); len(h.sends) != 1 || !h.d.Sees() {
+		t.Errorf("after 8.5 s: sent to %v, sees %v", h.sends, h.d.Sees())
+	}
+	s.Follows = true // it has the list of a process that was there till now
+	if h = newHost(t, s, fleet(1, 1)...); !h.d.Sees() {
+		t.Error("a process that follows another waits for a list")
+	}
+}
+
 // TestProbesByFleetSize: a worker that is out is probed by one dispatcher after 0.1 s for each there is, also where probes go on
 // failing. Before, each probed it every quarter of a second or so.
 func TestProbesByFleetSize(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -122,6 +122,7 @@
 	// time-out of a connection allows several.
 	patience time.Duration
 	ticking  bool                       // a tick is asked for
+	blind    bool                       // discovery has yet to tell what it has: see Heard
 	offline  map[WorkerID]time.Duration // since when operators have left it out, listed or not
 	back     []WorkerID                 // no longer so, and not sent to since
 	sick     []*worker                  // down or ejected
@@ -132,6 +133,7 @@
 	watchToken = iota
 	tickToken
 	jobToken
+	heardToken
 	tokenBits = 2
 )
 
@@ -179,12 +181,20 @@
 	w.others = w.kind.usual
 	if old := d.workers[e.ID]; old != nil {
 		w.nominal, w.slow, w.slowAt = old.nominal, old.slow, old.slowAt
+		old.State, old.replaced = Gone, true // attempts that are out keep pointing at the old process
 	}
 	d.workers[e.ID] = w
 	d.known = append(d.known, w)
 	return w
 }
 
+// gone notes that the list has a worker no more; nil: it never had.
+func (w *worker) gone() {
+	if w != nil {
+		w.State = Gone
+	}
+}
+
 // changed follows a change of the workers known or allowed: records of those that are gone go too.
 func (d *Dispatcher) changed(now time.Duration) {
 	d.known = slices.DeleteFunc(d.known, func(w *worker) bool {
@@ -310,6 +320,9 @@
 	return listed, avoided
 }
 
+// Sees says whether work may be sent by the list that is held.
+func (d *Dispatcher) Sees() bool { return !d.blind }
+
 // JobOf returns the job that a timer's token is about, if it is about one. Once the job is answered and has no attempt
 // out the timer is of no use.
 func JobOf(token uint64) (JobID, bool) {
--- a/balance/zone_test.go
+++ b/balance/zone_test.go
@@ -182,6 +182,39 @@
 	}
 }
 
+// TestLastWorkerOfAZoneIsSpared: where a zone has lost all but one worker, which comes back cold, every turn of the zone's period is
+// that worker's. It gets no more of its zone's jobs than if the zone had its even part of all workers.
+func TestLastWorkerOfAZoneIsSpared(t *testing.T) {
+	const dispatchers, workers, jobs = 200, 20, 10
+	now := 1000 * time.Second
+	var left []Worker
+	for _, w := range twoZones(workers) {
+		if w.Zone == 1 {
+			left = append(left, w)
+		} else if len(left) == 0 {
+			w.Up = now
+			left = append(left, w)
+		}
+	}
+	got := 0
+	for n := range dispatchers {
+		z := newInZone(n, dispatchers, n%2, twoZones(workers))
+		z.d.List(now, ListFull, left)
+		for i := range jobs {
+			z.d.Job(now+time.Duration(i)*ms, Job{ID: JobID(1000 + i), Left: 5 * time.Second, Slots: 1})
+			if z.at.to == left[0].ID {
+				got++
+			}
+			z.d.Outcome(now+time.Duration(i)*ms, Outcome{Job: JobID(1000 + i), Status: OK, Closed: true})
+		}
+	}
+	s := settings()
+	warm := float64(dispatchers*jobs) / float64(len(left)) // what it would get of all jobs
+	if most := 0.7 * s.OverloadFactor * s.StartCapacity * warm; float64(got) > most || got == 0 {
+		t.Errorf("%d jobs came to the cold worker, %.0f fit the ramp", got, most)
+	}
+}
+
 // TestLostZoneGetsNoOverflow: where no connection to the other zone comes up, what left for it comes back.
 func TestLostZoneGetsNoOverflow(t *testing.T) {
 	z := newInZone(3, 300, 0, twoZones(30))
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -39,10 +39,10 @@
 )
 
 // A watch of discovery that breaks is made anew within so long for each dispatcher there is, and never later than this: what
-// discovery has to tell counts as told 6 s after a change, and that a watch is silent is noticed after 3 s.
+// discovery has to tell counts as told 6 s after a change, and that a watch is silent is noticed after 2.6 s.
 const (
 	remakeFor     = 20 * time.Millisecond
-	longestRemake = time.Second
+	longestRemake = 500 * time.Millisecond
 )
 
 // Descriptors that are neither clients' nor hosts' connections: the standard ones, the listener, discovery, the
@@ -147,6 +147,7 @@
 	list.Spread = min(time.Duration(c.Settings.Dispatchers)*remakeFor, longestRemake)
 	module := c.Settings
 	module.Classes = own.table.Classes()
+	module.ListFirst = true
 	id := boot()
 	records, err := openCapture(c, own, id, log)
 	if err != nil {
@@ -166,7 +167,7 @@
 			Shutdown: cancel, Now: now, Log: log, Check: check})
 		wrap = pulls.wrap(c.Classes)
 	}
-	clients := north.New(north.Config{Desk: sink, Wrap: wrap, Subject: records.subject(), Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
+	clients := north.New(north.Config{Desk: sink, Sees: sink.Sees, Wrap: wrap, Subject: records.subject(), Other: other, Classes: c.Classes, Limits: c.Settings.Classes,
 		MaxConns: northConns, Loads: loads, Budget: bytes, LastAnswer: lastAnswer, Now: now, Log: log, Check: check})
 	n.owner, n.clients, n.hosts, n.list, n.bytes = sink.Owner, clients, hosts, list, bytes
 	if n.peer != nil {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -27,9 +27,12 @@
 
 const (
 	answerWithin = 2500 * time.Millisecond // discovery handles calls in turn: one may wait
-	silence      = 3 * time.Second         // a watch sends something every 2 s: with a beat missed by a second it is broken
-	lasting      = time.Second             // what broke sooner is not made anew at once: it may break again and again
-	maxLine      = 4 << 20
+	// A watch sends something every 2 s: with a beat missed by 0.6 s it is broken. What it misses counts as told 6 s after
+	// it fell silent: that leaves 0.5 s at most to spread the calls of all dispatchers over, 2 s that one may wait for
+	// its turn, and what its answer takes.
+	silence = 2600 * time.Millisecond
+	lasting = time.Second // what broke sooner is not made anew at once: it may break again and again
+	maxLine = 4 << 20
 
 	// Of what is tried again: all that discovery has to tell counts as told 4 s after a move, and 6 s after it has changed
 	// even if the watch was silent then. The first tries are close together, and one that gets no answer makes room for
@@ -62,6 +65,7 @@
 	address  string
 	since    int64 // the version of the list held
 	badLines atomic.Int64
+	heard    bool                  // discovery has told what it has
 	back     bool                  // a list that went back in revision has been logged
 	told     atomic.Pointer[place] // address and since, for other goroutines
 
@@ -207,6 +211,7 @@
 	}
 	switch {
 	case e.list == nil:
+		c.hear()
 		return
 	case e.list.Complete && (first || e.list.Revision >= c.since): // only a service that began anew may know less
 		c.Sink.List(balance.ListFull, e.list.Hosts)
@@ -217,14 +222,24 @@
 			c.back = true
 			c.Log.Warn("list goes back, left aside", "revision", e.list.Revision, "held", c.since)
 		}
+		c.hear()
 		return
 	case len(e.list.Hosts) > 0 || first:
 		c.Sink.List(balance.ListChanges, e.list.Hosts)
 	}
+	c.heard = true
 	c.since = e.list.Revision
 	c.tell()
 }
 
+// hear hands on that discovery has nothing newer than the list held, if it is the first that is heard of it.
+func (c *Client) hear() {
+	if !c.heard {
+		c.heard = true
+		c.Sink.List(balance.ListChanges, nil)
+	}
+}
+
 // ended sees to what follows the end of a watch.
 func (c *Client) ended(ctx context.Context, e event) {
 	w := e.from
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -186,7 +186,7 @@
 		switch {
 		case head.Method != want:
 			return c.finish(405, last, http1.Fields{{Name: "Allow", Value: want}}, nil), nil
-		case c.s.at() != Serving:
+		case !c.s.Ready():
 			return c.finish(503, last, nil, nil), nil
 		}
 		return c.finish(200, last, nil, nil), nil
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -58,6 +58,7 @@
 type Config struct {
 	Desk     Desk
 	Other    Other           // may be nil
+	Sees     func() bool     // whether the list of hosts may be gone by; nil: always
 	Classes  []string        // names, by the module's number
 	Limits   []balance.Class // of the same
 	MaxConns int
@@ -196,7 +197,7 @@
 func (s *Server) Ending() bool { return Phase(s.phase.Load()) != Serving }
 
 // Ready says whether clients are welcome.
-func (s *Server) Ready() bool { return s.at() == Serving }
+func (s *Server) Ready() bool { return s.at() == Serving && (s.Sees == nil || s.Sees()) }
 
 // Run accepts connections until the context ends, then closes all that are left.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -226,6 +226,7 @@
 
 	// Published for those who must not wait for the owner.
 	forwards, listed, avoided atomic.Int64
+	sees                      atomic.Bool
 }
 
 // Forwards is how many attempts were written whole.
@@ -273,6 +274,7 @@
 	if o.Lessons != nil {
 		o.module.Learn(now, o.Lessons)
 	}
+	o.sees.Store(o.module.Sees())
 	o.wheel.Add(now+showEvery, timer{show: true})
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
@@ -326,6 +328,7 @@
 	}
 	clear(o.later)
 	o.later = o.later[:0]
+	o.sees.Store(o.module.Sees())
 }
 
 // offer queues an event if there is room.
@@ -592,11 +595,19 @@
 	o.post(func(now time.Duration) { o.module.Probed(now, h.Worker.ID, status, load) })
 }
 
-// List hands in the inventory, or changes to it.
+// List hands in the inventory, or changes to it. Hosts that came by themselves say nothing of what discovery has.
 func (o *Owner) List(kind balance.ListKind, hosts []Host) {
-	o.post(func(now time.Duration) { o.list(now, kind, hosts) })
+	o.post(func(now time.Duration) {
+		o.list(now, kind, hosts)
+		if kind != balance.ListFailed && !slices.ContainsFunc(hosts, func(h Host) bool { return h.Via != nil }) {
+			o.module.Heard(now)
+		}
+	})
 }
 
+// Sees says whether messages are sent by the list that is held: see balance.Dispatcher.Heard.
+func (o *Owner) Sees() bool { return o.sees.Load() }
+
 func (o *Owner) take(now time.Duration, m *Message) {
 	if o.keys[m.Key] != nil || o.moving[m.Key] != nil {
 		// The same id twice at once: the first may be running, so this one is neither run nor called harmless.
