Keep a host's connection only after a 202, and withdraw what an answer leaves unclear

Lines: south.answer and outcome. A connection went back to the pool after any answer that had been read whole. STANDING says that a second answer may come some milliseconds late: a second 503 with Srv-Declined is then the next job's, 'never ran' is said of a job that runs, and it is sent again, also to the same host. An answer that could not be read may have been the 202, and one outside the table says nothing: both were taken for the end of the attempt, the job ran on. And an answer counted only when its body had ended, which for some never happens. Change: a connection is kept after a 202 (2xx for probes and withdrawals) only; after an unreadable answer or one outside the table the job is withdrawn before the outcome is told (400 to 499 turn the request down: nothing to withdraw); the head decides, and nobody waits for a body; at most 16 answers that announce another.

--- /dev/null
+++ b/internal/south/crossings_test.go
@@ -0,0 +1,114 @@
+package south
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"liftgauge/balance"
+	"liftgauge/internal/http1"
+	"liftgauge/internal/owner"
+)
+
+// outcomes holds what a Client reports, in order.
+type outcomes struct{ written, ended chan balance.Status }
+
+func (o outcomes) Written(*owner.Attempt, bool)                 { o.written <- 0 }
+func (o outcomes) Ended(_ *owner.Attempt, s balance.Status)     { o.ended <- s }
+func (o outcomes) Probed(owner.Host, balance.Status, []float32) {}
+
+// peer plays a host on loopback, one function for each connection in the order in which they come.
+func peer(t *testing.T, conns ...func(net.Conn, *http1.Reader)) owner.Host {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for _, play := range conns {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				play(c, http1.NewReader(c))
+			}()
+		}
+	}()
+	return owner.Host{Name: "s-1", Address: l.Addr().String()}
+}
+
+// client runs a Client over real connections.
+func client(t *testing.T) (*Client, outcomes) {
+	t.Helper()
+	o := outcomes{make(chan balance.Status, 16), make(chan balance.Status, 16)}
+	c := New(Config{Sink: o, ConnectTimeout: time.Minute, Keepalive: time.Hour, MaxConns: 8,
+		Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return c, o
+}
+
+func attempt(c *Client, to owner.Host, id string) *owner.Attempt {
+	call := &http1.Call{ID: id, Method: "POST", Target: "/a/x", Body: []byte("high"), Fields: http1.Fields{{Name: "Req-Id", Value: id}}}
+	return &owner.Attempt{Message: &owner.Message{Payload: call}, Host: to, Deadline: c.Now() + time.Hour, Clear: func() bool { return true }}
+}
+
+// request reads a whole request and returns its method and path.
+func request(r *http1.Reader) string {
+	q, err := r.ReadRequest()
+	if err != nil {
+		return ""
+	}
+	if r.SkipBody(&q.Head, http1.MaxBody) != nil {
+		return ""
+	}
+	return q.Method + " " + q.Path
+}
+
+// TestLateSecondAnswer: a host turns a job away twice, the second time when the next job is on its way already. That word is of
+// the first: were it taken for the next one's, that one would be sent again while it runs.
+func TestLateSecondAnswer(t *testing.T) {
+	c, o := client(t)
+	refuse := func(conn net.Conn) { fmt.Fprint(conn, "HTTP/1.1 503 No\r\n"+declined) }
+	took := make(chan struct{}, 1)
+	to := peer(t, func(conn net.Conn, r *http1.Reader) {
+		request(r)
+		refuse(conn)
+		if request(r) != "" { // the next job has come on this connection
+			refuse(conn)
+			fmt.Fprint(conn, taken)
+			took <- struct{}{}
+			request(r)
+		}
+	}, func(conn net.Conn, r *http1.Reader) {
+		request(r)
+		fmt.Fprint(conn, taken)
+		took <- struct{}{}
+		request(r)
+	})
+	c.Send(t.Context(), attempt(c, to, "1"))
+	if s := <-o.ended; s != balance.Full {
+		t.Errorf("the first job: status %d", s)
+	}
+	ctx, stop := context.WithCancelCause(t.Context())
+	defer stop(owner.ErrSettled)
+	a := attempt(c, to, "2")
+	c.Send(ctx, a)
+	<-took
+	stop(owner.ErrSettled)
+	c.tasks.Wait()
+	select {
+	case s := <-o.ended:
+		t.Errorf("the second job, which runs, ended with status %d", s)
+	default:
+	}
+}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -23,6 +23,7 @@
 	giveUpWithin = time.Second
 	lateAnswer   = time.Second // how long an answer is awaited whose outcome is known, to keep the connection
 	maxAnswer    = http1.MaxBody
+	mostInterim  = 16 // answers that only announce another
 )
 
 // Sink takes what became of attempts and probes.
@@ -209,24 +210,62 @@
 	// them counts as perhaps run for as long as the client waits. A new connection shows at once whether it is there.
 	doubt := time.AfterFunc(c.ConnectTimeout, func() { c.pool.forget(a.Host.Name) })
 	defer doubt.Stop()
-	answer, _, err := c.answer(conn, stop, 0) // before the 202, closing the connection also gives the attempt up
+	answer, err := c.head(conn) // before the 202, closing the connection also gives the attempt up
+	var spoilt *http1.Error
 	if err != nil {
 		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
 			return balance.Cancelled
 		}
 		c.Log.Debug("reset", "message", call.ID, "host", a.Host.Name, "kept", conn.kept, "err", err)
 		c.broke(ctx, conn)
+		if errors.As(err, &spoilt) { // it may have been the 202
+			c.giveUp(a)
+		}
 		return balance.Reset
 	}
 	text, _ := answer.Fields.Get(load.Header)
 	a.Load = c.Loads.Text(a.Host.Name, text)
-	status := outcome(answer)
+	status, known := outcome(answer)
 	if status == 0 {
 		a.Taken()
 	}
+	// What the head says counts now, whatever becomes of the body. Only after a 202 the connection is kept: should another
+	// answer come late, the next job on it would have it for its own, and "never ran" must not be said of a job that runs.
+	if status == 0 {
+		c.rest(conn, answer, stop)
+	} else {
+		c.pool.drop(conn)
+	}
+	if !known {
+		c.giveUp(a)
+	}
 	return status
 }
 
+// rest reads what is left of an answer whose outcome is known, and keeps the connection if it can be used again. Where the body has
+// yet to come nobody waits for it.
+func (c *Client) rest(conn *conn, answer *http1.Response, stop func() bool) {
+	read := func() {
+		err := conn.r.SkipBody(&answer.Head, maxAnswer)
+		c.done(conn, answer, err, stop)
+	}
+	if !answer.Chunked && answer.Length >= 0 && answer.Length <= int64(conn.r.Buffered()) {
+		read()
+		return
+	}
+	conn.SetReadDeadline(time.Now().Add(lateAnswer))
+	c.spawn(read)
+}
+
+// done puts a connection back whose answer has been read, if it can be used again.
+func (c *Client) done(conn *conn, answer *http1.Response, err error, stop func() bool) {
+	if stopped := stop(); err == nil && !answer.Close && conn.r.Buffered() == 0 && stopped {
+		c.pool.put(conn)
+	} else {
+		c.pool.drop(conn)
+	}
+}
+
 // broke notes that a connection broke, unless this side ended what it carried.
 func (c *Client) broke(ctx context.Context, conn *conn) {
 	switch {
@@ -238,43 +277,53 @@
 	}
 }
 
-// answer reads an answer with its body. It keeps the connection if it can be used again; stop ends what may still set
-// its deadlines, and where that has begun already the connection is not kept. A body of up to some size is kept, if it comes whole.
-func (c *Client) answer(conn *conn, stop func() bool, keep int64) (*http1.Response, []byte, error) {
-	for {
+// head reads an answer's head, past such as announce another. Without one the connection is dropped.
+func (c *Client) head(conn *conn) (*http1.Response, error) {
+	for range mostInterim {
 		answer, err := conn.r.ReadResponse()
 		if err != nil {
 			c.pool.drop(conn)
-			return nil, nil, err
-		}
-		if answer.Status < 200 {
-			continue
-		}
-		var body []byte
-		if answer.Length > 0 && answer.Length <= keep {
-			body, err = conn.r.ReadBodyInto(&answer.Head, make([]byte, answer.Length))
-		} else {
-			err = conn.r.SkipBody(&answer.Head, maxAnswer)
+			return nil, err
 		}
-		if err == nil && !answer.Close && conn.r.Buffered() == 0 && stop() {
-			c.pool.put(conn)
-		} else {
-			c.pool.drop(conn)
+		if answer.Status >= 200 {
+			return answer, nil
 		}
-		return answer, body, nil
 	}
+	c.pool.drop(conn)
+	return nil, &http1.Error{Reason: "answers without end that announce another"}
+}
+
+// answer reads an answer with its body. It keeps the connection if it can be used again; stop ends what may still set
+// its deadlines, and where that has begun already the connection is not kept. A body of up to some size is kept, if it comes whole.
+func (c *Client) answer(conn *conn, stop func() bool, keep int64) (*http1.Response, []byte, error) {
+	answer, err := c.head(conn)
+	if err != nil {
+		return nil, nil, err
+	}
+	var body []byte
+	if answer.Length > 0 && answer.Length <= keep {
+		body, err = conn.r.ReadBodyInto(&answer.Head, make([]byte, answer.Length))
+	} else {
+		err = conn.r.SkipBody(&answer.Head, maxAnswer)
+	}
+	if answer.Status >= 300 { // see send: what comes after it must not be another's answer
+		answer.Close = true
+	}
+	c.done(conn, answer, err, stop)
+	return answer, body, nil
 }
 
-// outcome is what an answer to a send says, after the protocol's table. 0: the host has taken the job.
-func outcome(answer *http1.Response) balance.Status {
+// outcome is what an answer to a send says, after the protocol's table. 0: the host has taken the job. Of an answer that is not in
+// the table nothing is known: the job may have run, and may run still.
+func outcome(answer *http1.Response) (status balance.Status, known bool) {
 	declined, _ := answer.Fields.Get("Srv-Declined")
 	switch {
 	case answer.Status == 202:
-		return 0
+		return 0, true
 	case (answer.Status == 503 || answer.Status == 504) && declined == "1":
-		return balance.Full
+		return balance.Full, true
 	}
-	return balance.Errored // whatever else it is, the job may have run
+	return balance.Errored, answer.Status == 500 || answer.Status/100 == 4 // the request itself is turned down
 }
 
 // giveUp tells a host that nobody waits for a job any more.
