Hold a keyed repeat's window and a client's leaving against the first byte

Lines: owner.clear asks for drains and withdrawals only. The module decides within the window (balance.spent), but the first byte goes out after the connection is up, up to 250 ms later. And a client's leaving counts only when its event's turn in the owner's queue has come. Change: an attempt knows until when it may go out (Attempt.Until, the window of the first that may have run); Clear asks for it, and a write that the host holds up is cut off then, which proves that nothing ran. Owner.Gone marks the message before it queues the event, and Clear reads the mark. Tests, each seen to fail without its line: TestWindowEndsOnTheWay, TestGoneBarsAtOnce, TestSlowHostAndTheWindow.

--- a/internal/owner/actions.go
+++ b/internal/owner/actions.go
@@ -26,7 +26,8 @@
 		end = min(end, now+timeout)
 	}
 	a := &Attempt{Message: p.Message, Host: h.Host, Deadline: end, open: p, number: len(p.attempts), sent: o.Now(), host: h}
-	a.Clear = a.clear
+	a.Until = o.until(p)
+	a.Clear = func() bool { return a.clear(o.Now()) }
 	ctx, stop := context.WithCancelCause(o.ctx)
 	a.stop = stop
 	p.attempts = append(p.attempts, a)
@@ -50,6 +51,21 @@
 	o.south(a.Host).Send(ctx, a)
 }
 
+// until is when nothing more of a message may be sent: the window of a keyed one counts from its first attempt that may have run. The
+// module decides by the same; but from its decision to the first byte a connection may have to come up.
+func (o *Owner) until(p *open) time.Duration {
+	class := p.Job.Class
+	if class < 0 || class >= len(o.Settings.Classes) || o.Settings.Classes[class].Effect != balance.Keyed {
+		return 0
+	}
+	for _, b := range p.attempts {
+		if !b.over || !b.status.NotRun() {
+			return b.sent + o.Settings.Classes[class].Window - 2*o.Settings.Tick
+		}
+	}
+	return 0
+}
+
 // busy: one host gets one attempt of a message at a time.
 func (c actions) busy(p *open, h *host, but *Attempt) bool {
 	for _, a := range p.attempts {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -50,6 +50,8 @@
 	// gone, and no attempt is out. It must not block. A message that Submit turned away was never the owner's.
 	Settled func()
 	Subject uint64 // a keyed hash of what it is about, for records only; 0: none
+
+	departed atomic.Bool // its client has gone: known at once, whatever waits in the queue
 }
 
 // Begun is an event of a message: it runs.
@@ -83,6 +85,10 @@
 	// it before it says Ended.
 	Load []float32
 
+	// Until is when it may no longer be begun, and its last byte no longer go out, on the owner's clock; 0: no such time but the
+	// deadline. A keyed message may run again only for so long after the first attempt that may have run.
+	Until time.Duration
+
 	open   *open
 	number int
 	sent   time.Duration
@@ -105,8 +111,8 @@
 func (a *Attempt) Ended() time.Duration   { return a.ended }
 func (a *Attempt) Status() balance.Status { return a.status }
 
-func (a *Attempt) clear() bool {
-	return !a.barred.Load() && !a.host.shut.Load() && !a.host.offline.Load()
+func (a *Attempt) clear(now time.Duration) bool {
+	return !a.barred.Load() && !a.Message.departed.Load() && !a.host.shut.Load() && !a.host.offline.Load() && (a.Until == 0 || now < a.Until)
 }
 
 // Causes of the end of an attempt's context.
@@ -365,6 +371,7 @@
 
 // Gone says that the client of a message no longer waits.
 func (o *Owner) Gone(m *Message) {
+	m.departed.Store(true)
 	o.post(func(now time.Duration) {
 		p := o.keys[m.Key]
 		if p == nil || p.Message != m || p.answered {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -119,7 +119,7 @@
 func (b *bench) Watch()      { b.note(func() { b.watches++ }) }
 
 // newBench starts an Owner with four hosts inside a synctest bubble, where time is the test's.
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, settings balance.Settings) *bench {
 	b := &bench{t: t}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	var known []Host
@@ -129,7 +129,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	b.stop = stop
 	for i := range b.both {
-		b.both[i] = New(Config{Settings: testSettings(), Seed: 7, Known: known, South: side{b, i}, Inventory: b, Queue: 64, Log: log,
+		b.both[i] = New(Config{Settings: settings, Seed: 7, Known: known, South: side{b, i}, Inventory: b, Queue: 64, Log: log,
 			Check: &invariant.Checker{}, Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) }})
 		go b.both[i].Run(ctx)
 	}
@@ -180,8 +180,14 @@
 }
 
 func within(t *testing.T, test func(*testing.T, *bench)) {
+	t.Helper()
+	withSettings(t, testSettings(), test)
+}
+
+func withSettings(t *testing.T, settings balance.Settings, test func(*testing.T, *bench)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
+		b := newBench(t, settings)
 		test(t, b)
 		b.stop()
 		synctest.Wait()
@@ -223,6 +229,60 @@
 	})
 }
 
+// TestWindowEndsOnTheWay: a keyed message may run again only for so long after its first attempt that may have run. A second one is
+// decided on in time, but its connection comes up late: nothing goes out, and the message gets its answer.
+func TestWindowEndsOnTheWay(t *testing.T) {
+	settings := testSettings()
+	settings.Classes[reading].Window = time.Second
+	withSettings(t, settings, func(t *testing.T, b *bench) {
+		m := b.submit(reading, 5*time.Second)
+		first := b.sends[0].a
+		b.wait(900 * time.Millisecond)
+		b.ended(b.sends[0], balance.Reset)
+		if b.wait(50 * time.Millisecond); len(b.sends) != 2 {
+			t.Fatalf("%d attempts", len(b.sends))
+		}
+		s := b.sends[1]
+		if want := first.Sent() + time.Second - 2*b.o.Settings.Tick; !s.a.Clear() || s.a.Until != want || first.Until != 0 {
+			t.Errorf("clear %v, until %v, want %v; the first one until %v", s.a.Clear(), s.a.Until, want, first.Until)
+		}
+		b.wait(60 * time.Millisecond) // the connection is up
+		if s.a.Clear() {
+			t.Error("clear after the window")
+		}
+		b.ended(s, balance.Moot)
+		b.wait(5 * time.Second)
+		if len(m.answers) != 1 || m.answers[0].Kind != Failed || len(b.sends) != 2 {
+			t.Errorf("answers %+v, %d attempts", m.answers, len(b.sends))
+		}
+	})
+}
+
+// TestGoneBarsAtOnce: the client leaves while the owner is busy. An attempt whose connection comes up in that moment does not begin,
+// though the owner has yet to hear of it.
+func TestGoneBarsAtOnce(t *testing.T) {
+	within(t, func(t *testing.T, b *bench) {
+		m := b.submit(warning, 5*time.Second)
+		s := b.sends[0]
+		busy := make(chan struct{})
+		b.o.After(func() { <-busy })
+		synctest.Wait()
+		if !s.a.Clear() {
+			t.Error("not clear while the client waits")
+		}
+		b.o.Gone(m.m)
+		if s.a.Clear() || context.Cause(s.ctx) != nil {
+			t.Errorf("clear %v, cause %v", s.a.Clear(), context.Cause(s.ctx))
+		}
+		close(busy)
+		synctest.Wait()
+		if !errors.Is(context.Cause(s.ctx), ErrWithdrawn) {
+			t.Errorf("cause %v", context.Cause(s.ctx))
+		}
+		b.ended(s, balance.Moot)
+	})
+}
+
 // TestConclude: what is open when the program may be killed soon is answered then, once: with a back-off answer where nothing can have
 // run, and what is out is withdrawn. A class that waits longer than a planned end lasts got no answer at all.
 func TestConclude(t *testing.T) {
--- a/internal/south/crossings_test.go
+++ b/internal/south/crossings_test.go
@@ -112,3 +112,30 @@
 	default:
 	}
 }
+
+// TestSlowHostAndTheWindow: a host takes the request so slowly that the time for another attempt ends before the last byte. The write is
+// cut short, which proves that nothing ran, and the connection is gone.
+func TestSlowHostAndTheWindow(t *testing.T) {
+	within(t, 8, func(w *world) {
+		w.note(func() { w.act = step{reads: 1 << 20} })
+		w.c.pool.Dial = func(context.Context, string) (net.Conn, error) { // nobody reads at the other end
+			near, far := net.Pipe()
+			go func() {
+				time.Sleep(time.Minute)
+				far.Close()
+			}()
+			return near, nil
+		}
+		a := w.attempt(false)
+		a.Until = w.c.Now() + time.Second
+		ctx, stop := context.WithCancelCause(w.t.Context())
+		defer stop(owner.ErrSettled)
+		began := time.Now()
+		w.c.Send(ctx, a)
+		w.c.tasks.Wait()
+		if took := time.Since(began); len(w.status) != 1 || w.status[0] != balance.ConnectFailed || len(w.written) != 0 || took != time.Second {
+			t.Errorf("statuses %v after %v, written %v", w.status, took, w.written)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -185,6 +185,9 @@
 		c.pool.put(conn)
 		return balance.Moot
 	}
+	if a.Until > 0 { // a write that a slow host holds up must not end later: cut short, it proves that nothing ran
+		conn.SetWriteDeadline(time.Now().Add(a.Until - c.Now()))
+	}
 	stop := context.AfterFunc(ctx, func() {
 		if errors.Is(context.Cause(ctx), owner.ErrSettled) {
 			conn.SetReadDeadline(time.Now().Add(lateAnswer))
