Take an attempt for given up only once its host has heard so

Lines: south.settle said Cancelled whatever became of the call (giveUp, 1 s); south.send said it without any call where the 202 was not yet there, though that may cross. A withdrawal before the 202 is told to the host as well. Tests, with real connections: TestUnheardWithdrawal, TestWithdrawalCrossesThe202; TestNotWhereItMayRunYet; two rows of FuzzHost's table said that a withdrawal before the 202 is told to nobody, they now say that it is. -race -count=20 and GOMAXPROCS=1.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -226,8 +226,8 @@
 		return false
 	}
 	for _, a := range r.tries {
-		if a.w == w && (now-a.sent).Seconds() < d.mean {
-			return false // it turned this job away just now, or lost it
+		if a.w == w && (a.stuck || (now-a.sent).Seconds() < d.mean) {
+			return false // it turned this job away just now, or lost it, or may have it still
 		}
 	}
 	return true
@@ -439,7 +439,7 @@
 		return
 	}
 	w := a.w
-	a.out, a.clean = false, o.Status.NotRun()
+	a.out, a.clean, a.stuck = false, o.Status.NotRun(), o.Status == TimedOut
 	r.out--
 	d.take(now, w, -r.need)
 	d.report(now, w, o.Report)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -427,6 +427,22 @@
 	}
 }
 
+// TestNotWhereItMayRunYet: an attempt whose withdrawal its worker has not heard may run there yet. Its job goes to others only, however
+// long that is ago; after one that is known to be given up the worker may have it again.
+func TestNotWhereItMayRunYet(t *testing.T) {
+	for status, again := range map[Status]int{TimedOut: 1, Cancelled: 2} {
+		s := settings()
+		s.FreeSlots = -1
+		h := newHost(t, s, fleet(1)...)
+		h.job(1, 0)
+		h.run(h.now + 10*ms)
+		h.end(1, status)
+		if h.run(h.now + 4*time.Second); len(h.sentFor[1]) != again {
+			t.Errorf("status %d: %d attempts at the only worker, want %d", status, len(h.sentFor[1]), again)
+		}
+	}
+}
+
 // TestAsksAgainSoon: a failed call to the list is made again within a second, however many dispatchers there are: what discovery
 // has counts as told 6 s after it could be reached.
 func TestAsksAgainSoon(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -61,6 +61,7 @@
 	waits        bool          // it has not started in time
 	wrote        time.Duration // when it was on its way; 0: not yet
 	clean        bool          // known never to have run
+	stuck        bool          // neither over nor given up, as far as is known
 	tells        bool          // its running time can be told from its end
 }
 
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -140,7 +140,7 @@
 	loads := load.New(c.Loads, log)
 	northConns, southConns, pullConns := n.room(c.Sockets, c.Memory)
 	hosts := south.New(south.Config{Sink: sink, ConnectTimeout: c.Settings.ConnectTimeout, Keepalive: c.Keepalive,
-		MaxConns: southConns, Loads: loads, Now: now, Log: log})
+		MaxConns: southConns, Copies: c.Settings.SecondCopies, Loads: loads, Now: now, Log: log})
 	list := inventory.New(c.Discovery, known.Revision, c.Zones, c.Kinds, log)
 	list.Sink = sink
 	list.Pushed = !c.Settings.MustAsk
--- a/internal/south/crossings_test.go
+++ b/internal/south/crossings_test.go
@@ -139,3 +139,66 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestUnheardWithdrawal: a host has taken a job, and the call that gives it up is lost twice. Until it is heard the attempt is neither
+// over nor given up: where no copy is allowed it is said again, and else the outcome says that the job may run there yet.
+func TestUnheardWithdrawal(t *testing.T) {
+	for _, copies := range []bool{false, true} {
+		c, o := client(t)
+		c.Copies = copies
+		calls := make(chan string, 8)
+		lose := func(_ net.Conn, r *http1.Reader) { calls <- request(r) }
+		to := peer(t, func(conn net.Conn, r *http1.Reader) {
+			calls <- request(r)
+			fmt.Fprint(conn, "HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		}, lose, lose, func(conn net.Conn, r *http1.Reader) {
+			calls <- request(r)
+			fmt.Fprint(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		})
+		ctx, stop := context.WithCancelCause(t.Context())
+		a := attempt(c, to, "1")
+		c.Send(ctx, a)
+		want := []string{"POST /a/x", "DELETE /jobs/1", "DELETE /jobs/1", "DELETE /jobs/1"}
+		status := balance.Cancelled
+		if copies {
+			want, status = want[:2], balance.TimedOut
+		}
+		<-o.written
+		for i, w := range want {
+			if got := <-calls; got != w {
+				t.Errorf("copies %v: call %d is %q, want %q", copies, i, got, w)
+			}
+			if i == 0 {
+				stop(owner.ErrWithdrawn)
+			}
+		}
+		if s := <-o.ended; s != status {
+			t.Errorf("copies %v: status %d, want %d", copies, s, status)
+		}
+	}
+}
+
+// TestWithdrawalCrossesThe202: the attempt is withdrawn while the host's 202 is on the way. To close the connection gives it up only
+// before the 202, so the host is told as well.
+func TestWithdrawalCrossesThe202(t *testing.T) {
+	c, o := client(t)
+	calls := make(chan string, 8)
+	to := peer(t, func(_ net.Conn, r *http1.Reader) {
+		calls <- request(r)
+		request(r) // till the other side closes: its 202 would come now
+	}, func(conn net.Conn, r *http1.Reader) {
+		calls <- request(r)
+		fmt.Fprint(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	ctx, stop := context.WithCancelCause(t.Context())
+	c.Send(ctx, attempt(c, to, "1"))
+	<-calls
+	<-o.written
+	stop(owner.ErrWithdrawn)
+	if got := <-calls; got != "DELETE /jobs/1" {
+		t.Errorf("the host heard %q", got)
+	}
+	if s := <-o.ended; s != balance.Cancelled {
+		t.Errorf("status %d", s)
+	}
+}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,6 +25,10 @@
 	lateAnswer   = time.Second // how long an answer is awaited whose outcome is known, to keep the connection
 	maxAnswer    = http1.MaxBody
 	mostInterim  = 16 // answers that only announce another
+
+	firstAgain = 50 * time.Millisecond // until a withdrawal that was not heard is said again; twice as long each time
+
+	refused = balance.Status(255) // of a call without a job: nobody listens there
 )
 
 // Sink takes what became of attempts and probes.
@@ -39,10 +44,12 @@
 	ConnectTimeout time.Duration
 	Keepalive      time.Duration // hosts close what stood idle so long
 	MaxConns       int
-	Loads          *load.Reader // of hosts' load reports; nil where they have none
-	Now            func() time.Duration
-	Log            *slog.Logger
-	Dial           func(ctx context.Context, address string) (net.Conn, error)
+	// Copies says that a message may be with two hosts at once: whether a host has heard that an attempt is given up is then asked once.
+	Copies bool
+	Loads  *load.Reader // of hosts' load reports; nil where they have none
+	Now    func() time.Duration
+	Log    *slog.Logger
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client is the south side. It implements owner.South.
@@ -117,8 +124,26 @@
 func (c *Client) settle(ctx context.Context, a *owner.Attempt) {
 	<-ctx.Done()
 	if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
-		c.giveUp(a)
-		c.Sink.Ended(a, balance.Cancelled)
+		c.Sink.Ended(a, c.withdraw(a, balance.Cancelled))
+	}
+}
+
+// withdraw gives an attempt up at its host. It returns the outcome that follows from that, or TimedOut where the host has not heard: the
+// attempt may run there yet, and it is neither over nor given up. Where no copy is allowed it goes on until the host has heard, or the
+// deadline makes an end of all: nothing else may be done with the message meanwhile.
+func (c *Client) withdraw(a *owner.Attempt, heard balance.Status) balance.Status {
+	for pause := firstAgain; ; pause = min(2*pause, giveUpWithin) {
+		switch {
+		case c.giveUp(a):
+			return heard
+		case c.Copies || c.Now()+pause >= a.Deadline:
+			return balance.TimedOut
+		}
+		select {
+		case <-time.After(pause):
+		case <-c.ctx.Done():
+			return balance.TimedOut
+		}
 	}
 }
 
@@ -216,13 +241,13 @@
 	answer, err := c.head(conn) // before the 202, closing the connection also gives the attempt up
 	var spoilt *http1.Error
 	if err != nil {
-		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) {
-			return balance.Cancelled
+		if errors.Is(context.Cause(ctx), owner.ErrWithdrawn) { // the 202 may be on the way
+			return c.withdraw(a, balance.Cancelled)
 		}
 		c.Log.Debug("reset", "message", call.ID, "host", a.Host.Name, "kept", conn.kept, "err", err)
 		c.broke(ctx, conn)
 		if errors.As(err, &spoilt) { // it may have been the 202
-			c.giveUp(a)
+			return c.withdraw(a, balance.Reset)
 		}
 		return balance.Reset
 	}
@@ -240,7 +265,7 @@
 		c.pool.drop(conn)
 	}
 	if !known {
-		c.giveUp(a)
+		return c.withdraw(a, status)
 	}
 	return status
 }
@@ -329,12 +354,16 @@
 	return balance.Errored, answer.Status == 500 || answer.Status/100 == 4 // the request itself is turned down
 }
 
-// giveUp tells a host that nobody waits for a job any more.
-func (c *Client) giveUp(a *owner.Attempt) {
+// giveUp tells a host that nobody waits for a job any more, and says whether it has heard. A 202 is no answer to that, but one to a job that
+// came twice. A host that refuses the connection is gone, with all that it had.
+func (c *Client) giveUp(a *owner.Attempt) (heard bool) {
 	call := callOf(a.Message)
-	if _, _, status := c.ask(a.Host, "DELETE", "/jobs/"+call.ID, giveUpWithin); status != balance.OK {
+	answer, _, status := c.ask(a.Host, "DELETE", "/jobs/"+call.ID, giveUpWithin)
+	heard = status == balance.OK && answer.Status != 202 && answer.Status < 500 || status == refused
+	if !heard {
 		c.Log.Debug("withdrawal not heard", "message", call.ID, "host", a.Host.Name, "status", status)
 	}
+	return heard
 }
 
 // probe asks for a host's load where it reports any, else whether it is well.
@@ -345,6 +374,8 @@
 	}
 	answer, body, status := c.ask(h, "GET", target, probeWithin)
 	switch {
+	case status == refused:
+		return balance.ConnectFailed, nil
 	case answer == nil:
 		return status, nil
 	case answer.Status == 200:
@@ -368,6 +399,8 @@
 	switch {
 	case errors.Is(err, errNoRoom):
 		return nil, nil, balance.Moot
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, nil, refused
 	case err != nil:
 		return nil, nil, balance.ConnectFailed
 	}
--- a/internal/south/south_test.go
+++ b/internal/south/south_test.go
@@ -163,12 +163,12 @@
 	{answer: "HTTP/1.1 400 No\r\n" + empty, want: balance.Errored},
 	{answer: "HTTP/1.1 200 OK\r\n" + empty, want: balance.Errored, gives: true, keeps: true},
 	{answer: "what?\r\n\r\n", want: balance.Reset, breaks: true, gives: true, keeps: true},
-	{answer: "HTTP/1.1 202 Acc", thinks: soon, stop: owner.ErrWithdrawn, after: 2 * soon, want: balance.Cancelled},
+	{answer: "HTTP/1.1 202 Acc", thinks: soon, stop: owner.ErrWithdrawn, after: 2 * soon, want: balance.Cancelled, gives: true, keeps: true},
 	{answer: "close", want: balance.Reset, breaks: true},
 	{reads: 1, want: balance.ConnectFailed, unheard: true, breaks: true},
 	{reads: 120, want: balance.ConnectFailed, unheard: true, breaks: true},
 	{barred: true, want: balance.Moot, unheard: true, keeps: true},
-	{answer: "", stop: owner.ErrWithdrawn, after: time.Second, want: balance.Cancelled},
+	{answer: "", stop: owner.ErrWithdrawn, after: time.Second, want: balance.Cancelled, gives: true, keeps: true},
 	{answer: taken, thinks: 2 * soon, stop: owner.ErrSettled, after: soon}, // the host's word came first
 	{answer: "", stop: owner.ErrSettled, after: soon, want: balance.Reset}, // too late to count, but it ends
 	{probe: true, answer: "HTTP/1.1 200 OK\r\n" + empty, want: balance.OK, keeps: true},
