Send a request that a host rejects nowhere else, and blame no host for it

Lines: south.outcome, which had one status for a host's error and a request that the host turns down. Change: 400 to 499 is Rejected: the owner answers at once, as it does with a result, and the module hears of a closed job without blame. Test: TestRejected, seen to fail without the owner's line; a row of FuzzHost's table changes with the status.

--- a/balance/api.go
+++ b/balance/api.go
@@ -145,6 +145,7 @@
 	Reset                // the connection broke
 	Cancelled            // withdrawn by the dispatcher
 	Moot                 // never sent
+	Rejected             // the worker says that the request itself is wrong: no other would run it, and no worker is at fault
 )
 
 // NotRun reports whether the ending proves that the job never ran, where workers shed no work that they had begun.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -777,8 +777,11 @@
 	if !status.NotRun() {
 		p.mayHave = true
 	}
-	if status == balance.OK {
+	switch status {
+	case balance.OK:
 		o.answer(p, Answer{Kind: Served, Result: result})
+	case balance.Rejected: // as final as a result
+		o.answer(p, Answer{Kind: Failed})
 	}
 	o.module.Outcome(now, balance.Outcome{Job: p.id, Attempt: a.number, Worker: a.Host.Worker.ID, Status: status,
 		Took: now - a.sent, Closed: p.answered, Report: a.Load})
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -283,6 +283,23 @@
 	})
 }
 
+// TestRejected: a host says that the request itself is wrong. The client gets its answer at once, nothing is sent again, and no host is
+// avoided for what a client sent.
+func TestRejected(t *testing.T) {
+	within(t, func(t *testing.T, b *bench) {
+		for i := range 12 {
+			m := b.submit(reading, 5*time.Second)
+			b.ended(b.sends[i], balance.Rejected)
+			if len(b.sends) != i+1 || len(m.answers) != 1 || m.answers[0].Kind != Failed {
+				t.Fatalf("%d attempts, answers %+v", len(b.sends), m.answers)
+			}
+		}
+		if _, avoided := b.o.module.Fleet(b.o.Now()); avoided != 0 || len(b.o.jobs) != 0 {
+			t.Errorf("%d hosts avoided, %d messages kept", avoided, len(b.o.jobs))
+		}
+	})
+}
+
 // TestConclude: what is open when the program may be killed soon is answered then, once: with a back-off answer where nothing can have
 // run, and what is out is withdrawn. A class that waits longer than a planned end lasts got no answer at all.
 func TestConclude(t *testing.T) {
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -351,7 +351,10 @@
 	case (answer.Status == 503 || answer.Status == 504) && declined == "1":
 		return balance.Full, true
 	}
-	return balance.Errored, answer.Status == 500 || answer.Status/100 == 4 // the request itself is turned down
+	if answer.Status/100 == 4 {
+		return balance.Rejected, true
+	}
+	return balance.Errored, answer.Status == 500
 }
 
 // giveUp tells a host that nobody waits for a job any more, and says whether it has heard. A 202 is no answer to that, but one to a job that
--- a/internal/south/south_test.go
+++ b/internal/south/south_test.go
@@ -160,7 +160,7 @@
 	{answer: "HTTP/1.1 504 No\r\n" + declined, want: balance.Full},
 	{answer: "HTTP/1.1 503 No\r\n" + empty, want: balance.Errored, gives: true, keeps: true}, // that of the withdrawal
 	{answer: "HTTP/1.1 500 No\r\n" + declined, want: balance.Errored},
-	{answer: "HTTP/1.1 400 No\r\n" + empty, want: balance.Errored},
+	{answer: "HTTP/1.1 400 No\r\n" + empty, want: balance.Rejected},
 	{answer: "HTTP/1.1 200 OK\r\n" + empty, want: balance.Errored, gives: true, keeps: true},
 	{answer: "what?\r\n\r\n", want: balance.Reset, breaks: true, gives: true, keeps: true},
 	{answer: "HTTP/1.1 202 Acc", thinks: soon, stop: owner.ErrWithdrawn, after: 2 * soon, want: balance.Cancelled, gives: true, keeps: true},
