Read a list that comes on many lines

Line: inventory.follow decoded each line by itself, so an indented list ended every watch, and nothing of it was ever told. Change: lines are put together until the object ends; an object that goes on for 2.6 s without end is broken, whatever beats come with it, and counts as a bad line. Test: TestIndented, with empty lines inside and a list that never ends; TestBadLine holds as it was.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -337,19 +337,35 @@
 	}
 	decoder := Decoder{Zones: c.Zones, Kinds: c.Kinds}
 	lines := bufio.NewReaderSize(r.Body(&answer.Head), 16<<10)
+	var o object
+	alive := func() { conn.SetReadDeadline(time.Now().Add(silence)) }
+	alive()
 	for {
-		conn.SetReadDeadline(time.Now().Add(silence))
 		line, err := readLine(lines)
+		if err != nil && o.begun() {
+			return fmt.Errorf("%w: %w: %w", errBroken, errBadLine, err)
+		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", errBroken, err)
 		}
-		if line = bytes.TrimSpace(line); len(line) == 0 {
+		if line = bytes.TrimSpace(line); len(line) == 0 && !o.begun() {
+			alive()
 			if !tell(nil) {
 				return ctx.Err()
 			}
 			continue // a beat
 		}
-		list, err := decoder.Decode(line)
+		if !o.begun() { // but what only goes on is no sign of life: it may never end, whatever beats come with it
+			alive()
+		}
+		text, whole, err := o.add(line)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errBroken, err)
+		}
+		if !whole {
+			continue
+		}
+		list, err := decoder.Decode(text)
 		if err != nil { // the last good list holds on, and the next watch starts from its version
 			return fmt.Errorf("%w: %w: %w", errBroken, errBadLine, err)
 		}
@@ -361,6 +377,47 @@
 
 var errLongLine = errors.New("line too long")
 
+// object puts the lines of a list together: it may come on one, or indented on many.
+type object struct {
+	text            []byte
+	depth           int
+	quoted, escaped bool
+}
+
+func (o *object) begun() bool { return len(o.text) > 0 }
+
+// add takes a line and returns the object that it ends, if it does. What is no object is one line.
+func (o *object) add(line []byte) (text []byte, whole bool, err error) {
+	for _, b := range line {
+		switch {
+		case o.escaped:
+			o.escaped = false
+		case o.quoted:
+			o.quoted, o.escaped = b != '"', b == '\\'
+		case b == '"':
+			o.quoted = true
+		case b == '{' || b == '[':
+			o.depth++
+		case b == '}' || b == ']':
+			o.depth--
+		}
+	}
+	if o.depth <= 0 && !o.begun() {
+		*o = object{}
+		return line, true, nil
+	}
+	if len(o.text)+len(line) > maxLine {
+		return nil, false, errLongLine
+	}
+	o.text = append(append(o.text, line...), '\n')
+	if o.depth > 0 {
+		return nil, false, nil
+	}
+	text = o.text
+	*o = object{}
+	return text, true, nil
+}
+
 func readLine(r *bufio.Reader) ([]byte, error) {
 	var line []byte
 	for {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -94,6 +94,33 @@
 	})
 }
 
+// TestIndented: a list may come on many lines, also with empty ones among them. One that never ends is no watch that stands, though beats come.
+func TestIndented(t *testing.T) {
+	within(t, func(s *service, c *Client) {
+		conn := s.accept()
+		text := strings.ReplaceAll(line(43, true, "SERVING"), ",", ",\n\n  ")
+		text = strings.ReplaceAll(strings.ReplaceAll(text, "[", "[\n"), "}", "\n}")
+		chunk(conn, text[:len(text)/2])
+		chunk(conn, text[len(text)/2:])
+		chunk(conn, "\n")
+		chunk(conn, line(44, false, "DRAINING"))
+		want := []string{"kind 0 s-5be2a07c state 0 zone 1 kind 1 up 1s", "kind 1 s-5be2a07c state 1 zone 1 kind 1 up 1s"}
+		if !reflect.DeepEqual(s.lists, want) {
+			t.Errorf("lists %q, bad lines %d", s.lists, c.BadLines())
+		}
+		chunk(conn, "{\"revision\":45,\n")
+		for range 2 {
+			time.Sleep(2 * time.Second)
+			chunk(conn, "\n")
+		}
+		again := s.accept() // after 2.6 s, from what is held
+		if got := s.asked[len(s.asked)-1]; got != "/api/targets?follow=1&since=44" {
+			t.Errorf("asked %s", got)
+		}
+		again.Close()
+	})
+}
+
 func TestFollow(t *testing.T) {
 	within(t, func(s *service, c *Client) {
 		conn := s.accept()
