Let test.sh run tests listed as known red apart, three at most

A malformed line, a name that matches no test or a fourth line fails; a listed test that passes is named as one to strike. There is no KNOWN-RED.txt: nothing is known to be red.

--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
 # All checks of the project; CI runs the same.
+#
+# KNOWN-RED.txt lists tests that fail for a fault that is known and not mended yet, a line each: package and test, cause, issue,
+# between bars. They are run apart, printed with their result, and do not fail the rest. Everything else that fails does.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(find . -name '*.go' -not -path './journal/*' -exec gofmt -l {} +)
@@ -7,9 +10,48 @@
   echo "not gofmt'ed: $unformatted" >&2
   exit 1
 fi
+declare -A skip=()
+red=()
+if [ -s KNOWN-RED.txt ]; then
+  while IFS= read -r line || [ -n "$line" ]; do
+    if ! [[ $line =~ ^(\./[a-z0-9/]+)\ (Test[A-Za-z0-9]+)\ \|\ [^|]+\ \|\ issue\ [0-9]+$ ]]; then
+      echo "KNOWN-RED.txt: want './package TestName | cause | issue N', have: $line" >&2
+      exit 1
+    fi
+    known=$(go test -list "^${BASH_REMATCH[2]}\$" "${BASH_REMATCH[1]}")
+    if ! grep -qx "${BASH_REMATCH[2]}" <<<"$known"; then
+      echo "KNOWN-RED.txt: no test of that name: $line" >&2
+      exit 1
+    fi
+    red+=("$line")
+    at=$(go list "${BASH_REMATCH[1]}")
+    skip[$at]="${skip[$at]:+${skip[$at]}|}^${BASH_REMATCH[2]}\$"
+  done <KNOWN-RED.txt
+fi
+if [ "${#red[@]}" -gt 3 ]; then
+  echo "KNOWN-RED.txt: ${#red[@]} tests, three at most" >&2
+  exit 1
+fi
+for line in "${red[@]}"; do
+  echo "known red: $line"
+  read -r package test _ <<<"$line"
+  if go test -run "^$test\$" "$package"; then
+    echo "known red, but it passes: strike it from KNOWN-RED.txt: $test"
+  fi
+done
 go vet ./...
 go vet -tags debug ./...
 bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
-go test ./...
-go test -tags debug ./...
-go test -race ./...
+tests() { # all but the known red ones, each passed over in its own package alone
+  local at others=()
+  for at in $(go list ./...); do
+    [ -n "${skip[$at]:-}" ] || others+=("$at")
+  done
+  go test "$@" "${others[@]}"
+  for at in "${!skip[@]}"; do
+    go test "$@" -skip "${skip[$at]}" "$at"
+  done
+}
+tests
+tests -tags debug
+tests -race
