Hand on which worker may have a job yet

An attempt that ended as 'may run yet' lost that in an upgrade: the successor could send to the same worker again. balance.Try carries it. TestStuckChangesHands, seen to fail without the line in Adopt. And a context of TestUnheardWithdrawal that go vet found unended.

--- a/balance/handover.go
+++ b/balance/handover.go
@@ -18,6 +18,7 @@
 	Started bool
 	Clean   bool // known never to have run
 	Tells   bool
+	Stuck   bool // its worker may have it yet
 }
 
 // Release lets go of an open job, as if it had never come, and returns its attempts. False: it is closed or unknown, or one of its
@@ -29,7 +30,7 @@
 	}
 	for i := range r.tries {
 		a := &r.tries[i]
-		t := Try{Worker: a.w.Worker, Sent: now - a.sent, Out: a.out, Started: a.started, Clean: a.clean, Tells: a.tells}
+		t := Try{Worker: a.w.Worker, Sent: now - a.sent, Out: a.out, Started: a.started, Clean: a.clean, Tells: a.tells, Stuck: a.stuck}
 		if a.started {
 			t.Began = now - a.began
 		}
@@ -60,7 +61,7 @@
 			w = &worker{Worker: t.Worker, kind: d.kindOf(t.Worker.Kind), slow: 1, turn: -1, replaced: true}
 			w.State = Gone
 		}
-		a := attempt{w: w, sent: now - t.Sent, out: t.Out, started: t.Started, clean: t.Clean, tells: t.Tells}
+		a := attempt{w: w, sent: now - t.Sent, out: t.Out, started: t.Started, clean: t.Clean, tells: t.Tells, stuck: t.Stuck}
 		if t.Started {
 			a.began = now - t.Began
 		}
--- a/balance/handover_test.go
+++ b/balance/handover_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// TestStuckChangesHands: that a worker may have a job yet is known to the process that takes the job over, too.
+func TestStuckChangesHands(t *testing.T) {
+	s := settings()
+	s.FreeSlots = -1
+	for status, again := range map[Status]int{TimedOut: 0, Cancelled: 1} {
+		old, next := newHost(t, s, fleet(1)...), newHost(t, s, fleet(1)...)
+		old.job(1, 0)
+		old.run(old.now + 10*ms)
+		old.end(1, status) // no other worker is there: it waits
+		tries, ok := old.d.Release(old.now, 1)
+		if !ok {
+			t.Fatal("not released")
+		}
+		next.d.Adopt(next.now, Job{ID: 1, Left: 5 * time.Second, Slots: 1}, 10*ms, tries)
+		if next.run(next.now + 3*time.Second); len(next.sentFor[1]) != again {
+			t.Errorf("status %d: %d attempts at the only worker, want %d", status, len(next.sentFor[1]), again)
+		}
+	}
+}
+
 // TestLearn: what was learnt comes over whole; what cannot have been learnt is left aside, and nothing of it breaks a decision.
 func TestLearn(t *testing.T) {
 	old, next := newHost(t, settings(), fleet(1, 1)...), newHost(t, settings(), fleet(1, 1)...)
--- a/internal/south/crossings_test.go
+++ b/internal/south/crossings_test.go
@@ -156,8 +156,8 @@
 			fmt.Fprint(conn, "HTTP/1.1 204 No Content\r\n\r\n")
 		})
 		ctx, stop := context.WithCancelCause(t.Context())
-		a := attempt(c, to, "1")
-		c.Send(ctx, a)
+		defer stop(owner.ErrSettled)
+		c.Send(ctx, attempt(c, to, "1"))
 		want := []string{"POST /a/x", "DELETE /jobs/1", "DELETE /jobs/1", "DELETE /jobs/1"}
 		status := balance.Cancelled
 		if copies {
