Let a class that may be repeated at will be refused though it may have run

Line: owner.answer, whose invariant knew no classes. Test: TestSafeIsRefusedThoughItMayRun, seen to fail without the line.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -639,8 +639,9 @@
 	if p.answered {
 		return
 	}
-	// A back-off answer says that trying again is harmless: never where an attempt may have run, or still may.
-	if a.Kind == BackOff && !o.Check.Check(!p.mayHave && p.out == 0, "back-off answer for what may have run", "message", p.Key) {
+	// A back-off answer says that trying again is harmless: never where an attempt may have run, or still may, but for a class that may be
+	// repeated at will.
+	if a.Kind == BackOff && !o.Check.Check(!p.mayHave && p.out == 0 || o.repeats(p), "back-off answer for what may have run", "message", p.Key) {
 		a = Answer{Kind: Failed}
 	}
 	p.answered, p.kind, p.at = true, a.Kind, o.Now()
@@ -657,6 +658,12 @@
 	o.settle(p)
 }
 
+// repeats: its class may be repeated at will.
+func (o *Owner) repeats(p *open) bool {
+	class := p.Job.Class
+	return class >= 0 && class < len(o.Settings.Classes) && o.Settings.Classes[class].Effect == balance.Safe
+}
+
 // settle forgets a message that is answered and has no attempt out. Its timers go with it: left on the wheel they would
 // hold it, with all that the client sent, until its patience is over.
 func (o *Owner) settle(p *open) {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -300,6 +300,26 @@
 	})
 }
 
+// TestSafeIsRefusedThoughItMayRun: a job that may be repeated at will waits at its host until its answer would be worth nothing. It is
+// refused, which breaks no invariant, and its attempt withdrawn.
+func TestSafeIsRefusedThoughItMayRun(t *testing.T) {
+	settings := testSettings()
+	c := &settings.Classes[reading]
+	c.Effect, c.LateWorth = balance.Safe, 0
+	withSettings(t, settings, func(t *testing.T, b *bench) {
+		m := b.submit(reading, 5*time.Second)
+		b.o.Written(b.sends[0].a, false)
+		b.wait(2 * time.Second)
+		if len(m.answers) != 1 || m.answers[0].Kind != BackOff || b.o.Check.Breaches() != 0 {
+			t.Errorf("answers %+v, %d breaches", m.answers, b.o.Check.Breaches())
+		}
+		if s := b.sends[0]; !errors.Is(context.Cause(s.ctx), ErrWithdrawn) {
+			t.Errorf("cause %v", context.Cause(s.ctx))
+		}
+		b.ended(b.sends[0], balance.Cancelled)
+	})
+}
+
 // TestConclude: what is open when the program may be killed soon is answered then, once: with a back-off answer where nothing can have
 // run, and what is out is withdrawn. A class that waits longer than a planned end lasts got no answer at all.
 func TestConclude(t *testing.T) {
