End the program without waiting for withdrawals that nobody hears

Found by reading the change once more: since, where no second copy is allowed, a withdrawal is said again until the message's deadline, and south.Run waited for that: the program could outlast a planned end by up to 25 s on caroni. Line: south.withdraw, which looked at a context that ends only after the tasks. Change: it stops when Run's context has ended. TestEndBehindAnUnheardWithdrawal, seen to hang without the line; -race -count=10.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -45,11 +45,11 @@
 func (c *conn) shut() {
 	c.closed = true
 	c.s.shutting++
-	c.SetReadDeadline(past)
+	c.endRead()
 }
 
-// past is a deadline that ends a read under way.
-var past = time.Unix(1, 0)
+// endRead ends a read that is under way, or the next one.
+func (c *conn) endRead() { c.SetReadDeadline(time.Unix(1, 0)) }
 
 // rest gives a connection so long until the next request, unless it has been shut.
 func (c *conn) rest(limit time.Duration) {
@@ -107,7 +107,7 @@
 	case c.early: // it is here: only the client's leaving was waited for
 		c.early = false
 		if c.peeked != nil {
-			c.SetReadDeadline(past)
+			c.endRead()
 			<-c.peeked
 			c.peeked = nil
 		}
--- a/internal/south/crossings_test.go
+++ b/internal/south/crossings_test.go
@@ -202,3 +202,28 @@
 		t.Errorf("status %d", s)
 	}
 }
+
+// TestEndBehindAnUnheardWithdrawal: the program ends while a withdrawal is said again and again to a host that loses it. It does not wait
+// for the message's deadline.
+func TestEndBehindAnUnheardWithdrawal(t *testing.T) {
+	calls := make(chan string, 1)
+	conns := []func(net.Conn, *http1.Reader){func(conn net.Conn, r *http1.Reader) {
+		request(r)
+		fmt.Fprint(conn, "HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	}}
+	for range 64 {
+		conns = append(conns, func(_ net.Conn, r *http1.Reader) {
+			select {
+			case calls <- request(r):
+			default:
+			}
+		})
+	}
+	to := peer(t, conns...)
+	c, o := client(t) // its end is waited for, while the host goes on
+	ctx, stop := context.WithCancelCause(context.Background())
+	c.Send(ctx, attempt(c, to, "1"))
+	<-o.written
+	stop(owner.ErrWithdrawn)
+	<-calls
+}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -59,6 +59,7 @@
 	tasks errgroup.Group
 	ctx   context.Context
 	stop  context.CancelFunc
+	ended chan struct{} // closed when Run's context has ended: what is not heard by then is not said again
 }
 
 var _ interface {
@@ -72,7 +73,7 @@
 		var d net.Dialer
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	s := &Client{Config: c}
+	s := &Client{Config: c, ended: make(chan struct{})}
 	s.pool = newPool(c)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
@@ -88,6 +89,7 @@
 		case <-ticks.C:
 			c.pool.sweep(c.Now())
 		case <-ctx.Done():
+			close(c.ended)
 			err := c.tasks.Wait()
 			c.stop()
 			c.pool.close()
@@ -141,7 +143,7 @@
 		}
 		select {
 		case <-time.After(pause):
-		case <-c.ctx.Done():
+		case <-c.ended:
 			return balance.TimedOut
 		}
 	}
