Void complaints about stores from before a silence; attach cut-off stores in need

Cause: a store that was cut off from everybody is heard again together with the last complaints about its silence. Control took these for a link that is cut now, kept the two stores apart for 3 s, and with F+1 stores left nothing could be written. Two mends: complaints from before a silence say nothing of the link afterwards, and a store that was cut off becomes a learner where Copies cannot be had otherwise: nobody waits for a learner.

Ruled out: a shorter pause of the verdict (it is right for links that are cut while control hears both); members instead of learners (writes would wait for a link that may be cut).

--- a/internal/roles/control/storetrouble.go
+++ b/internal/roles/control/storetrouble.go
@@ -66,6 +66,9 @@
 
 // heartbeat notes what a store says, and reports whether there is something new to plan for.
 func (t *storeTrouble) heartbeat(now time.Duration, h *protocol.Heartbeat) (changed bool) {
+	if before, known := t.heard[h.Node.Member]; known && now-before > silentAfter {
+		t.forgetComplaints(h.Node.Member)
+	}
 	t.heard[h.Node.Member] = now
 	for _, other := range h.Stuck {
 		pair := [2]string{min(h.Node.Member, other), max(h.Node.Member, other)}
@@ -90,6 +93,16 @@
 	return one.extend(now, stalledFirstPause)
 }
 
+// forgetComplaints voids the complaints about a store, and its own, that have not led to anything: they were about its silence, which is over, and
+// say nothing of its links now.
+func (t *storeTrouble) forgetComplaints(member string) {
+	for pair, one := range t.pairs {
+		if pair[0] == member || pair[1] == member {
+			one.since, one.last = 0, 0
+		}
+	}
+}
+
 // tick takes complaints that have settled, ends what is over, and reports whether there is something new to plan for.
 func (t *storeTrouble) tick(now time.Duration) (changed bool) {
 	active := 0
--- a/internal/roles/control/storetrouble_test.go
+++ b/internal/roles/control/storetrouble_test.go
@@ -60,6 +60,37 @@
 	is.Equal(trouble.blocked(now), nil)
 }
 
+// A store that was cut off from all, control too, is heard again together with the last complaints about its silence. These are no sign of a
+// link that is cut now: only complaints that last from then on are.
+func TestComplaintFromBeforeASilenceIsForgotten(t *testing.T) {
+	is := is.New(t)
+	trouble := newStoreTrouble()
+	now := time.Minute
+	trouble.heartbeat(now, stuckBeat("a"))
+	trouble.heartbeat(now, stuckBeat("b"))
+	for range 15 { // a hears nobody and is not heard
+		now += 200 * time.Millisecond
+		trouble.heartbeat(now, stuckBeat("b", "a"))
+		is.True(!trouble.tick(now))
+	}
+	now += 20 * time.Millisecond
+	trouble.heartbeat(now, stuckBeat("a", "b")) // healed; its leases are not answered yet
+	is.True(!trouble.tick(now))
+	now += 180 * time.Millisecond
+	trouble.heartbeat(now, stuckBeat("b", "a"))
+	trouble.heartbeat(now, stuckBeat("a"))
+	is.True(!trouble.tick(now))
+	is.Equal(trouble.blocked(now), nil)
+
+	for range 2 { // but the link between the two stays cut
+		now += 200 * time.Millisecond
+		trouble.heartbeat(now, stuckBeat("a", "b"))
+		trouble.heartbeat(now, stuckBeat("b", "a"))
+		trouble.tick(now)
+	}
+	is.Equal(trouble.blocked(now), [][2]string{{"a", "b"}})
+}
+
 func TestPassingComplaintBlocksNobody(t *testing.T) {
 	is := is.New(t)
 	trouble := newStoreTrouble()
--- a/placement/blocked_test.go
+++ b/placement/blocked_test.go
@@ -54,6 +54,27 @@
 	is.Equal(changes[0].View.Learners, []string{d})
 }
 
+// With fewer than Copies stores in reach a store that was cut off becomes a learner all the same: nobody waits for it, and without it nothing
+// can be written, also when the links are whole again and only the verdict is old.
+func TestStoreCutOffIsALearnerWhereNobodyElseIsLeft(t *testing.T) {
+	is := is.New(t)
+	stores := gone(gone(fourZones(), c, 1), d, 1)
+	v := View{Epoch: 4, Primary: b, Members: []string{b}, Learners: []string{c}}
+	changes := Plan(blocked(one(v, stores, 2), [2]string{a, b}))
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].View.Primary, b)
+	is.Equal(changes[0].View.Members, []string{b})
+	is.True(slices.Contains(changes[0].View.Learners, a))
+
+	v = changes[0].View
+	is.Equal(Plan(blocked(one(v, stores, 2), [2]string{a, b})), nil) // no change of mind while it lasts
+
+	v = View{Epoch: 4, Primary: b, Members: []string{b}, Learners: []string{a}}
+	changes = Plan(blocked(one(v, fourZones(), 2), [2]string{a, b}))
+	is.Equal(len(changes), 1)
+	is.True(!slices.Contains(changes[0].View.Learners, a)) // others are in reach
+}
+
 func TestNobodyIsLeftOutWhereNobodyCanStandIn(t *testing.T) {
 	is := is.New(t)
 	stores := gone(gone(fourZones(), c, 1), d, 1)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -49,7 +49,7 @@
 	// records, and its writes wait for them. Offers of earlier epochs must not be given.
 	Offers map[int][]string
 	// Blocked holds pairs of live stores that cannot reach each other. Where a partition has both, one is left out if the others can
-	// have Copies without it; no copy is put beside one that it cannot reach.
+	// have Copies without it; a copy is put beside one that it cannot reach only where Copies cannot be had otherwise.
 	Blocked [][2]string
 	// Limit bounds the partitions that are moved at once only for balance or retirement; 0 means DefaultLimit.
 	Limit int
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -82,6 +82,9 @@
 	lasting := s.lastingCount(members) + s.lastingCount(learners)
 	for ; live < s.in.Copies; live++ {
 		i := s.candidate(p, members, learners, false)
+		if i == none {
+			i = s.unreachedCandidate(p, members, learners)
+		}
 		if i == none {
 			break
 		}
@@ -102,21 +105,32 @@
 }
 
 // candidate returns the store that is best given a copy: one that may be given something, else, unless strict, one that
-// leaves, else one that retires; well separated from the copies that stay; of little load.
+// leaves, else one that retires; well separated from the copies that stay; of little load. It reaches all members.
 func (s *state) candidate(p int, members, learners []int, strict bool) int {
+	return s.bestCandidate(p, members, learners, func(i int) bool {
+		return s.reachesAll(i, members) && (!strict || s.rank(i) == 0)
+	})
+}
+
+// unreachedCandidate is candidate where no store is left that is known to reach all members. Nobody waits for a learner, so to try one that
+// was cut off costs nothing, and with fewer than Copies disks nothing can be written at all: the link may be whole again.
+func (s *state) unreachedCandidate(p int, members, learners []int) int {
+	present := s.views[p].learners
+	if i := s.bestCandidate(p, members, learners, func(i int) bool { return slices.Contains(present, i) }); i != none {
+		return i
+	}
+	return s.bestCandidate(p, members, learners, func(int) bool { return true })
+}
+
+// bestCandidate returns the best store among the live ones that have no copy and fit, or none.
+func (s *state) bestCandidate(p int, members, learners []int, fits func(i int) bool) int {
 	stay := append(s.filter(members, (*store).lasting), s.filter(learners, (*store).lasting)...)
 	best, bestRank, bestCost := none, 0, 0
 	for i := range s.stores {
-		if !s.stores[i].live() || slices.Contains(members, i) || slices.Contains(learners, i) {
-			continue
-		}
-		if !s.reachesAll(i, members) {
+		if !s.stores[i].live() || slices.Contains(members, i) || slices.Contains(learners, i) || !fits(i) {
 			continue
 		}
 		rank := s.rank(i)
-		if strict && rank > 0 {
-			continue
-		}
 		cost := s.costOf(i, stay, none)
 		if best != none {
 			if rank > bestRank || rank == bestRank && cost > bestCost {
