Answer for known orders and messages once they are on enough disks

Cause (by reading): a process becomes control's primary, or a partition's, with those members of the view before that answered. With fewer members than copies its state may hold an order or a message that was written here, never acknowledged, and is nowhere else: a repeat of it got 200 or 202 from one disk, and control published such a configuration. One more lost disk, of no more than F, would take it away. With F = 2, six witnesses and four members a majority may hold two members only; with more witnesses, one.

Replica.Settle answers once all records as they are now are on Copies disks, by equal peers. Control acts as primary from then on; a store answers for a known message then. Writes and hand-outs do not wait for it.

Ruled out: a write as a barrier (a learner that takes new writes counts as a copy of these, not of what was before).

--- a/internal/roles/control/activation.go
+++ b/internal/roles/control/activation.go
@@ -15,7 +15,9 @@
 // activationBits hold the number of the activation in the version of that record.
 const activationBits = 20
 
-// activate is called when the replica has become active: its records are what all members have on disk.
+// activate is called when the replica has become active: its records are what all members have on disk. This process acts as primary once
+// they are on enough disks. Until then it may hold an order that was never acknowledged and that the loss of its disk would take away:
+// to publish or to acknowledge that one would be a promise that one loss can break.
 func (d *daemon) activate(epoch uint64) {
 	if !d.replica.IsActive() || d.replica.View().Epoch != epoch {
 		return
@@ -25,6 +27,18 @@
 		d.reviewWaiting()
 		return
 	}
+	d.replica.Settle(func(err error) {
+		if err == nil {
+			d.loop.post(func() { d.beginActivation(epoch) })
+		}
+	})
+}
+
+// beginActivation counts the activation on disk before anything is published.
+func (d *daemon) beginActivation(epoch uint64) {
+	if !d.replica.IsActive() || d.replica.View().Epoch != epoch || d.primary != nil {
+		return
+	}
 	activation, err := d.nextActivation(epoch)
 	if err != nil {
 		d.logger.Error("control: cannot read the own records", reason(err))
--- a/internal/roles/store/accept.go
+++ b/internal/roles/store/accept.go
@@ -44,7 +44,7 @@
 	case p == nil || !p.leading:
 		replyAccept(reply, protocol.AcceptNotPrimary, 0)
 	case p.knows(m.ID):
-		replyAccept(reply, protocol.AcceptStored, 0)
+		p.acceptKnown(reply)
 	case p.pending[m.ID] != nil:
 		p.pending[m.ID].answers = append(p.pending[m.ID].answers, reply)
 	default:
@@ -52,12 +52,24 @@
 	}
 }
 
-// knows reports whether a message has been accepted durably.
+// knows reports whether a message has been accepted, by this primary or by one before.
 func (p *partition) knows(id string) bool {
 	_, ended := p.ended[id]
 	return ended || p.store.queue.Has(p.number, id)
 }
 
+// acceptKnown answers for a message that has a record already. The primary that wrote it may have ended before the others had it, so the
+// answer waits until all that is here is on enough disks.
+func (p *partition) acceptKnown(reply answer) {
+	p.replica.Settle(func(err error) {
+		status := protocol.AcceptStored
+		if err != nil {
+			status = protocol.AcceptUnknown
+		}
+		replyAccept(reply, status, 0)
+	})
+}
+
 func (s *store) acceptNew(p *partition, m *protocol.Accept, reply answer) {
 	switch {
 	case s.stalled || s.configuration == nil || p.slow(s.now()) || s.pendingBytes+len(m.Body) > maxPendingBytes:
--- a/replication/leadership.go
+++ b/replication/leadership.go
@@ -152,11 +152,12 @@
 	for r.lead != nil && r.lead.installed && r.lead.joined {
 		w := r.writes.first()
 		if w == nil || !r.isDone(w) {
-			return
+			break
 		}
 		r.writes.pop()
 		w.done(w.failed)
 	}
+	r.completeSettling()
 }
 
 // isDone tells whether a write is on the own disk, on those of everybody it must wait for, and on enough.
--- a/replication/replica_test.go
+++ b/replication/replica_test.go
@@ -47,6 +47,37 @@
 	is.Equal(m.nodes["n1"].storage.durable[modelGroup]["ak"].Value, []byte("k"))
 }
 
+// settle has a node settle and returns where its answer will be.
+func (m *replicaModel) settleAt(id MemberID) *error {
+	answer := new(error)
+	*answer = errNoAnswer
+	m.nodes[id].replica.Settle(func(err error) { *answer = err })
+	return answer
+}
+
+// A primary that is active with fewer members than copies may hold what nobody else has: it is settled once a learner is equal, not
+// when a learner has taken a later write.
+func TestSettledOnceEnoughHoldEverything(t *testing.T) {
+	is := is.New(t)
+	m := newGroup(t, 2, 1, 2)
+	is.True(m.nodes["n0"].replica.IsActive())
+	m.put("n0", "k")
+	answer := m.settleAt("n0")
+	m.drain()
+	is.Equal(*answer, errNoAnswer) // one disk has it
+	is.Equal(*m.settleAt("n1"), ErrNotPrimary)
+
+	m.install(View{Epoch: 2, Primary: "n0", Members: []MemberID{"n0"}, Learners: []MemberID{"n1"}})
+	is.Equal(*answer, nil)
+	is.Equal(m.nodes["n1"].storage.durable[modelGroup]["ak"].Value, []byte("k"))
+	is.Equal(*m.settleAt("n0"), nil) // all is whole: at once
+
+	m.cut("n0", "n1")
+	answer = m.settleAt("n0")
+	m.nodes["n0"].replica.Install(View{Epoch: 3, Primary: "n1", Members: []MemberID{"n1"}})
+	is.Equal(*answer, ErrDeposed)
+}
+
 func TestMemberThatIsGoneBlocksWritesUntilAViewWithoutIt(t *testing.T) {
 	is := is.New(t)
 	m := newGroup(t, 3, 3, 2)
--- a/replication/write.go
+++ b/replication/write.go
@@ -9,8 +9,9 @@
 
 // writeQueue holds the writes that are not done, in order.
 type writeQueue struct {
-	pending []*write
-	synced  sequence // on the own disk
+	pending  []*write
+	settling []settling
+	synced   sequence // on the own disk
 }
 
 // last returns the index of the newest write.
@@ -32,11 +33,14 @@
 
 // fail answers all pending writes with an error.
 func (q *writeQueue) fail(err error) {
-	failed := q.pending
-	q.pending = nil
+	failed, settling := q.pending, q.settling
+	q.pending, q.settling = nil, nil
 	for _, w := range failed {
 		w.done(err)
 	}
+	for _, s := range settling {
+		s.done(err)
+	}
 }
 
 // Write replicates the records as one batch. done(nil) is called when it is on the own disk, on those of all members and of all
