--- a/lab/mutants/mutants.go
+++ b/lab/mutants/mutants.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io/fs"
 	"os"
@@ -22,11 +23,16 @@
 	Promise  string // that is taken out
 	File     string // from the root of the sources
 	Old, New string // Old stands once in the file
+	Package  string // whose tests are to notice; SystemPackage if empty
 }
 
+// testPackage is the package whose tests are to notice the mutant.
+func (m Mutant) testPackage() string { return cmp.Or(m.Package, SystemPackage) }
+
 // Result is what the tests made of a mutant.
 type Result struct {
 	Promise string
+	Package string
 	Caught  bool
 	Test    string   `json:",omitempty"` // the first that failed; empty when none did, or all ran out of time
 	Rules   []string `json:",omitempty"` // that the judge saw broken
@@ -68,9 +74,9 @@
 	return bytes.Replace(content, []byte(m.Old), []byte(m.New), 1), nil
 }
 
-// Run plays a mutant: it copies the sources at root, changes the copy, and runs the tests of a package until one fails. patience bounds it;
+// Run plays a mutant: it copies the sources at root, changes the copy, and runs the tests of its package until one fails. patience bounds it;
 // a mutant whose tests do not end is caught too.
-func Run(ctx context.Context, root, testPackage string, patience time.Duration, m Mutant) (r Result, err error) {
+func Run(ctx context.Context, root string, patience time.Duration, m Mutant) (r Result, err error) {
 	changed, err := m.mutated(root)
 	if err != nil {
 		return r, err
@@ -87,11 +93,11 @@
 		return r, err
 	}
 	begin := time.Now()
-	test := exec.CommandContext(ctx, "go", "test", "-vet=off", "-failfast", "-count", "1", "-timeout", patience.String(), testPackage)
+	test := exec.CommandContext(ctx, "go", "test", "-vet=off", "-failfast", "-count", "1", "-timeout", patience.String(), m.testPackage())
 	test.Dir = scratch
 	output, err := test.CombinedOutput()
 	r = read(output, err == nil)
-	r.Promise, r.Seconds = m.Promise, time.Since(begin).Seconds()
+	r.Promise, r.Package, r.Seconds = m.Promise, m.testPackage(), time.Since(begin).Seconds()
 	if ctx.Err() != nil {
 		return r, ctx.Err()
 	}
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -16,18 +16,22 @@
 	{
 		Promise: "a learner is equal only after its repair", File: "replication/outbound.go",
 		Old: "p.state == peerRepairing && len(p.changed)+len(p.extra) == 0 && p.acked >= p.equalAt", New: "p.state == peerRepairing",
+		Package: "./replication",
 	},
 	{
 		Promise: "lower epochs may not join", File: "replication/inbound.go",
 		Old: "if m.Epoch < r.fence || m.Epoch == r.joined.Epoch", New: "if m.Epoch == r.joined.Epoch",
+		Package: "./replication",
 	},
 	{
 		Promise: "the joined epoch outlives a restart", File: "replication/joined.go",
 		Old: "if err != nil || !found {", New: "if err != nil || !found || found {",
+		Package: "./replication",
 	},
 	{
 		Promise: "a new primary waits for the dispatchers' Hello", File: "internal/roles/store/partition.go",
 		Old: "return p.greeted\n", New: "return true\n",
+		Package: "./internal/roles/store",
 	},
 	{
 		Promise: "a primary acts only by its leases", File: "internal/roles/store/partition.go",
@@ -36,10 +40,12 @@
 	{
 		Promise: "a message that is known is not accepted again", File: "internal/roles/store/accept.go",
 		Old: "case p.knows(m.ID):", New: "case false:",
+		Package: "./internal/roles/store",
 	},
 	{
 		Promise: "failed attempts are kept", File: "internal/roles/store/result.go",
 		Old: "state.Attempts = uint64(t.Attempts)\n\tstate.count(attempt)", New: "state.count(attempt)",
+		Package: "./internal/roles/store",
 	},
 	{
 		Promise: "messages of a key go out one after the other", File: "queue/schedule.go",
@@ -52,11 +58,13 @@
 	{
 		Promise: "a message of unknown fate is not refused", File: "internal/roles/dispatcher/ingress/message.go",
 		Old: "refuse(w, http.StatusGatewayTimeout)", New: "comeBack(w, comeBackAfter)",
+		Package: "./internal/roles/dispatcher/ingress",
 	},
 	{
 		Promise: "a message of unknown fate goes to no other partition", File: "internal/roles/dispatcher/ingress/message.go",
-		Old: "if f == stored || f == unclear || in.dropped(m) {\n\t\t\treturn in.final(m, f)\n\t\t}\n\t\tin.choice.avoid",
-		New: "if f == stored || in.dropped(m) {\n\t\t\treturn in.final(m, f)\n\t\t}\n\t\tin.choice.avoid",
+		Old:     "if f == stored || f == unclear || in.dropped(m) {\n\t\t\treturn in.final(m, f)\n\t\t}\n\t\tin.choice.avoid",
+		New:     "if f == stored || in.dropped(m) {\n\t\t\treturn in.final(m, f)\n\t\t}\n\t\tin.choice.avoid",
+		Package: "./internal/roles/dispatcher/ingress",
 	},
 	{
 		Promise: "an order is on disk before it is acknowledged", File: "internal/roles/control/orders.go",
@@ -67,4 +75,154 @@
 		Promise: "a majority confirms what is read", File: "internal/roles/control/waiting.go",
 		Old: "d.act(d.elector.Confirm(d.now(), once))", New: "once(true)",
 	},
+	{
+		Promise: "complaints from before a silence are void", File: "internal/roles/control/storetrouble.go",
+		Old:     "known && now-before > silentAfter {",
+		New:     "known && now < before {",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a store that was cut off may learn where nobody else is left", File: "placement/repair.go",
+		Old:     "i = s.unreachedCandidate(p, members, learners)",
+		New:     "i = none",
+		Package: "./placement",
+	},
+	{
+		Promise: "an order that was taken is acknowledged for good", File: "configuration/orders.go",
+		Old:     "if _, ok := o.taken[d.Hash]; ok {",
+		New:     "if _, ok := o.taken[d.Hash]; ok && len(o.taken) == 0 {",
+		Package: "./configuration",
+	},
+	{
+		Promise: "an order builds on the version in force", File: "configuration/orders.go",
+		Old:     "if current := o.revision(); order.Base != current {",
+		New:     "if current := o.revision(); order.Base > current {",
+		Package: "./configuration",
+	},
+	{
+		Promise: "one order is under way at a time", File: "configuration/orders.go",
+		Old:     "if o.pending != nil {\n\t\td.Action",
+		New:     "if o.pending != nil && o.current == nil {\n\t\td.Action",
+		Package: "./configuration",
+	},
+	{
+		Promise: "a refused order is refused by a primary that a majority confirms", File: "internal/roles/control/orders.go",
+		Old:     "\t\tif stands {\n",
+		New:     "\t\tif stands || text != \"\" {\n",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "the state of a retirement is told by a primary that a majority confirms", File: "internal/roles/control/operator.go",
+		Old:     "if !stands || d.primary != p {",
+		New:     "if d.primary != p {",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a retirement has succeeded when no partition names the store", File: "internal/roles/control/retire.go",
+		Old:     "if p.model.names(s.Member) {",
+		New:     "if s.Emptied && p.model.names(s.Member) {",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a primary acts once its state is on enough disks", File: "internal/roles/control/activation.go",
+		Old:     "\td.replica.Settle(func(err error) {\n\t\tif err == nil {\n\t\t\td.loop.post(func() { d.beginActivation(epoch) })\n\t\t}\n\t})\n",
+		New:     "\td.beginActivation(epoch)\n",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "answers from before a question do not confirm", File: "replication/confirm.go",
+		Old:     "if round >= c.round {",
+		New:     "if round > 0 {",
+		Package: "./replication",
+	},
+	{
+		Promise: "a confirmation begins anew with each view", File: "replication/confirm.go",
+		Old:     "\t\t\tclear(c.stands)\n",
+		New:     "",
+		Package: "./replication",
+	},
+	{
+		Promise: "a confirmation needs a majority", File: "replication/confirm.go",
+		Old:     "if hasMajority(t.view.Witnesses, func(id MemberID) bool { return c.stands[id] }) {",
+		New:     "if len(c.stands) > 0 {",
+		Package: "./replication",
+	},
+	{
+		Promise: "a witness goes back to no lower epoch", File: "replication/witness.go",
+		Old:     "return epoch > g.Promised || epoch",
+		New:     "return epoch > g.Installed.Epoch || epoch",
+		Package: "./replication",
+	},
+	{
+		Promise: "a promise is on disk before it is given", File: "replication/registerwriter.go",
+		Old:     "if w.written >= w.issued {",
+		New:     "if w.written <= w.issued {",
+		Package: "./replication",
+	},
+	{
+		Promise: "a view needs a majority of the witnesses before it", File: "replication/ballot.go",
+		Old:     "\treturn hasMajority(b.base.Witnesses, accepted)\n",
+		New:     "\treturn true\n",
+		Package: "./replication",
+	},
+	{
+		Promise: "a view follows a majority of promises", File: "replication/ballot.go",
+		Old:     "return hasMajority(b.base.Witnesses, func(id MemberID) bool { return b.promised[id] })",
+		New:     "return len(b.promised) > 1",
+		Package: "./replication",
+	},
+	{
+		Promise: "only a member of the view before becomes primary", File: "replication/candidacy.go",
+		Old:     "if !c.founding && !c.base.IsMember(e.o.Self.Member) {",
+		New:     "if !c.founding && !c.base.IsWitness(e.o.Self.Member) {",
+		Package: "./replication",
+	},
+	{
+		Promise: "writes wait for a learner that was offered", File: "replication/leadership.go",
+		Old:     "return l.view.IsMember(id) || l.offered[id] || l.resumed",
+		New:     "return l.view.IsMember(id) || l.resumed",
+		Package: "./replication",
+	},
+	{
+		Promise: "a primary that restarts in its epoch waits for every learner", File: "replication/leadership.go",
+		Old:     "return l.view.IsMember(id) || l.offered[id] || l.resumed",
+		New:     "return l.view.IsMember(id) || l.offered[id]",
+		Package: "./replication",
+	},
+	{
+		Promise: "a primary that restarts draws no version twice", File: "replication/leadership.go",
+		Old:     "\t\tused = r.joined.Reserved\n",
+		New:     "\t\tused = 0\n",
+		Package: "./replication",
+	},
+	{
+		Promise: "a gap in a stream breaks it", File: "replication/inbound.go",
+		Old:     "if m.Seq != s.last+1 {",
+		New:     "if m.Seq < s.last+1 {",
+		Package: "./replication",
+	},
+	{
+		Promise: "what settles is on the disks of equal peers", File: "replication/settle.go",
+		Old:     "return copies >= r.o.Copies",
+		New:     "return copies > 0",
+		Package: "./replication",
+	},
+	{
+		Promise: "a member that is dropped has joined the epoch without it", File: "replication/replica.go",
+		Old:     "\tr.persist(joined{Epoch: epoch, View: r.view})\n\tfail :=",
+		New:     "\tfail :=",
+		Package: "./replication",
+	},
+	{
+		Promise: "a known message is answered once it is on enough disks", File: "internal/roles/store/accept.go",
+		Old:     "\tp.replica.Settle(func(err error) {\n",
+		New:     "\tfunc(settle func(error)) { settle(nil) }(func(err error) {\n",
+		Package: "./internal/roles/store",
+	},
+	{
+		Promise: "a lease covers only what the newest table says", File: "internal/roles/store/lease.go",
+		Old:     "r.Table.Less(g.floor) || r.Table.Less(one.fence)",
+		New:     "r.Table.Less(g.floor)",
+		Package: "./internal/roles/store",
+	},
 }
