Play control's worst faults in the model: halves, long cuts, replaced disks, lost answers

Eight faults of control are played beside operators that race and lose answers, and readers: what they saw has to be linearizable, each read new enough, and a quarter of what is sent RecoveryS later accepted. An order is sent again through a change of primary, a lost disk, 110 later versions and a loss of all power; a member misses 300 changes in three ways and is needed right after CatchUpS.

--- /dev/null
+++ b/sim/system/controlfaults.go
@@ -0,0 +1,169 @@
+package system
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"liftgauge/internal/protocol"
+)
+
+// longCut is how long the control side is cut in the worst of its faults.
+const longCut = 20 * time.Second
+
+// controlFault does one of the worst things to the control side beside operators and readers, and undoes it. Where disks are lost, they are
+// no more than FaultTolerance allows at a time, though other losses overlap with them.
+type controlFault struct {
+	name string
+	play func(w *World, random *rand.Rand) error
+}
+
+var controlFaults = []controlFault{
+	{"halves", func(w *World, random *rand.Rand) error {
+		controls := w.shuffled(protocol.RoleControl, random)
+		half := len(controls) / 2
+		w.separate(controls[:half], controls[half:], 6*time.Second)
+		return nil
+	}},
+	{"primary cut off for long", func(w *World, random *rand.Rand) error {
+		primary := w.controlPrimary()
+		w.separate([]*Process{primary}, w.others(primary), longCut)
+		return nil
+	}},
+	{"primary cut off one way", func(w *World, random *rand.Rand) error {
+		primary := w.controlPrimary()
+		for _, other := range w.others(primary) {
+			w.running.Go(func() { w.cutPair(primary.IP, other.IP, false, random.IntN(2) == 0, 4*time.Second) })
+		}
+		time.Sleep(5 * time.Second)
+		return nil
+	}},
+	{"behind", (*World).leaveBehind},
+	{"replaced one after the other", func(w *World, random *rand.Rand) error {
+		controls := w.shuffled(protocol.RoleControl, random)
+		for _, p := range append(controls, controls...) {
+			if err := w.replaceDisk(p); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"primary replaced again and again", func(w *World, random *rand.Rand) error {
+		for range 4 {
+			if err := w.replaceDisk(w.controlPrimary()); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"all killed", func(w *World, random *rand.Rand) error {
+		var failed error
+		for range 3 {
+			for _, p := range w.Of(protocol.RoleControl) {
+				failed = errors.Join(failed, p.Kill())
+			}
+			time.Sleep(300 * time.Millisecond)
+			failed = errors.Join(failed, w.StartAll())
+			time.Sleep(3 * time.Second)
+		}
+		return failed
+	}},
+	{"a disk lost while all others are dark", func(w *World, random *rand.Rand) error {
+		controls := w.shuffled(protocol.RoleControl, random)
+		time.Sleep(time.Duration(random.Int64N(int64(400 * time.Millisecond)))) // after some order
+		var failed error
+		for _, p := range w.Processes {
+			failed = errors.Join(failed, p.LosePower())
+		}
+		for _, p := range controls[:w.options.Machines] {
+			p.Wipe()
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+		failed = errors.Join(failed, w.StartAll())
+		time.Sleep(bounds.Contact())
+		return failed
+	}},
+}
+
+// leaveBehind cuts a member off while changes are made, then takes the disk of another and the power of the rest, and joins the cut: the one
+// that is behind is among the first that come back.
+func (w *World) leaveBehind(random *rand.Rand) error {
+	controls := w.shuffled(protocol.RoleControl, random)
+	behind, replaced, dark := controls[0], controls[1], controls[2:]
+	w.CutOff(behind.IP, true)
+	time.Sleep(4 * time.Second) // changes go on meanwhile
+	failed := replaced.LosePower()
+	replaced.Wipe()
+	for _, p := range dark {
+		failed = errors.Join(failed, p.LosePower())
+	}
+	w.CutOff(behind.IP, false)
+	failed = errors.Join(failed, replaced.Start())
+	time.Sleep(2 * time.Second)
+	failed = errors.Join(failed, w.StartAll())
+	time.Sleep(bounds.Contact())
+	return failed
+}
+
+// replaceDisk takes a process's disk, starts it with an empty one, and returns when it counts as whole again.
+func (w *World) replaceDisk(p *Process) error {
+	failed := p.LosePower()
+	p.Wipe()
+	time.Sleep(500 * time.Millisecond)
+	failed = errors.Join(failed, p.Start())
+	time.Sleep(seconds(bounds.CatchUpS))
+	return failed
+}
+
+// separate cuts all links between two groups of machines for a while.
+func (w *World) separate(some, others []*Process, span time.Duration) {
+	w.eachPair(some, others, func(a, b string) {
+		w.Judge.trouble("cut between " + a + " and " + b)
+		w.Net.Cut(a, b, false)
+		w.Net.Cut(b, a, false)
+	})
+	time.Sleep(span)
+	w.eachPair(some, others, func(a, b string) {
+		w.Judge.trouble("joined " + a + " and " + b)
+		w.Net.Heal(a, b)
+		w.Net.Heal(b, a)
+	})
+}
+
+func (w *World) eachPair(some, others []*Process, f func(a, b string)) {
+	for _, a := range some {
+		for _, b := range others {
+			if a.IP != b.IP {
+				f(a.IP, b.IP)
+			}
+		}
+	}
+}
+
+// shuffled lists the processes of a role in a drawn order.
+func (w *World) shuffled(role protocol.Role, random *rand.Rand) []*Process {
+	list := w.Of(role)
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// controlPrimary is the control process that is the active primary; where none is, the first one.
+func (w *World) controlPrimary() *Process {
+	host := w.Net.Host(operatorIP)
+	controls := w.Of(protocol.RoleControl)
+	for _, p := range controls {
+		_, body := w.get(host, "http://"+at(p.IP, controlPort)+"/status")
+		var page struct{ Active bool }
+		if json.Unmarshal([]byte(body), &page) == nil && page.Active {
+			return p
+		}
+	}
+	return controls[0]
+}
+
+// others lists the processes of the same role.
+func (w *World) others(p *Process) []*Process {
+	return slices.DeleteFunc(w.Of(p.Role), func(other *Process) bool { return other == p })
+}
--- /dev/null
+++ b/sim/system/controlfaults_test.go
@@ -0,0 +1,151 @@
+package system
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/protocol"
+)
+
+// lostAnswers is how many of ten answers to orders are lost beside the faults of control.
+const lostAnswers = 3
+
+// TestControlFaults plays each of the worst faults of control while operators race, lose answers and read: what they saw is linearizable,
+// every read is new enough, and traffic recovers.
+func TestControlFaults(t *testing.T) {
+	for _, f := range controlFaults {
+		for i := range *faultSeeds {
+			seed := *firstSeed + uint64(i)
+			t.Run(fmt.Sprint(f.name, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				o := Options{Seed: seed, Control: 4, Edges: 4}
+				if seed%2 == 0 {
+					o = Options{Seed: seed, Control: 6, Edges: 6, Machines: 2}
+				}
+				playControlFault(t, o, f)
+			})
+		}
+	}
+}
+
+func playControlFault(t *testing.T, o Options, f controlFault) {
+	var history *History
+	play(t, o, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		history = &w.Operator.History
+		var answers, ended atomic.Int64
+		w.Operator.LoseAnswer = func() bool { return answers.Add(1)%10 < lostAnswers }
+		raceOrders(w, func() bool { return ended.Load() == 0 })
+		time.Sleep(2 * time.Second)
+		is.NoErr(f.play(w, rand.New(rand.NewPCG(o.Seed, hash(f.name)))))
+		back := time.Now()
+		time.Sleep(3 * time.Second)
+		ended.Store(1)
+		time.Sleep(seconds(bounds.RecoveryS) - 2*time.Second)
+		w.Send(Traffic{Route: plainRoute, Every: 40 * time.Millisecond}, 2*time.Second, "after")
+		w.Judge.recovered(back)
+		time.Sleep(2 * time.Second)
+	})
+	is := is.New(t)
+	is.True(history.Len() > 20)
+	is.True(history.Linearizable())
+}
+
+// TestOrderIsTakenOnceHoweverOftenItIsSent loses every answer to an order, sends it unchanged to every process, through a change of primary and after
+// ten and a hundred later versions, and after the loss of a disk: it is acknowledged for good, and never again in force.
+func TestOrderIsTakenOnceHoweverOftenItIsSent(t *testing.T) {
+	play(t, Options{Seed: 12, Control: 4, Edges: 4}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		controls := w.Of(protocol.RoleControl)
+		first := w.Operator.Document(7, fifoRoute, plainRoute, pacedRoute)
+		rival := first
+		rival.Limits.IdleTimeoutMs++ // other content under the same number
+		again := func() {
+			status, err := w.Operator.Replace(5, first, 15*time.Second)
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			status, err = w.Operator.Replace(5, rival, 15*time.Second)
+			is.NoErr(err)
+			is.Equal(status, http.StatusPreconditionFailed)
+		}
+		var answers atomic.Int64
+		w.Operator.LoseAnswer = func() bool { return answers.Add(1) <= int64(len(controls)) }
+		again()
+		revision := 7
+		change := func(count int) {
+			for range count {
+				status, err := w.Operator.Replace(revision, w.Operator.Document(revision+1, fifoRoute, plainRoute, pacedRoute), 15*time.Second)
+				is.NoErr(err)
+				is.Equal(status, http.StatusOK)
+				revision++
+			}
+		}
+		change(10)
+		again()
+		kill(t, w.controlPrimary(), 300*time.Millisecond)
+		again()
+		change(100)
+		is.NoErr(w.replaceDisk(w.controlPrimary()))
+		again()
+		is.NoErr(w.losePowerEverywhere())
+		again()
+		is.Equal(w.Operator.Newest().Revision, revision)
+	})
+}
+
+// TestMemberThatMissedHundredsOfChanges is away while 300 changes are made, in each of the ways in which it may be, and has all of them
+// once it counts as whole: the others go then.
+func TestMemberThatMissedHundredsOfChanges(t *testing.T) {
+	ways := map[string]func(w *World, p *Process) (back func() error){
+		"without power": func(_ *World, p *Process) func() error {
+			_ = p.LosePower()
+			return p.Start
+		},
+		"cut off": func(w *World, p *Process) func() error {
+			w.CutOff(p.IP, true)
+			return func() error {
+				w.CutOff(p.IP, false)
+				return nil
+			}
+		},
+		"with an empty disk": func(_ *World, p *Process) func() error {
+			_ = p.LosePower()
+			p.Wipe()
+			return p.Start
+		},
+	}
+	for name, away := range ways {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, Options{Seed: 13, Control: 3}, func(t *testing.T, w *World) {
+				is := is.NewRelaxed(t)
+				others := w.others(w.controlPrimary())
+				back := away(w, others[0])
+				for revision := 6; revision <= 305; revision++ {
+					d := w.Operator.Document(revision, fifoRoute, plainRoute, pacedRoute)
+					for extra := range revision % 40 {
+						d.Routes = append(d.Routes, w.Operator.Document(0, Route{
+							Name: fmt.Sprint("extra-", extra), PathPrefix: fmt.Sprintf("/extra-%d/", extra), Backend: "svc-b",
+						}).Routes...)
+					}
+					status, err := w.Operator.Replace(revision-1, d, 15*time.Second)
+					is.NoErr(err)
+					is.Equal(status, http.StatusOK)
+				}
+				is.NoErr(back())
+				time.Sleep(seconds(bounds.CatchUpS))
+				is.NoErr(others[1].LosePower()) // the one that was away is needed now
+				others[1].Wipe()
+				w.Operator.ReadBack(5 * time.Second)
+				is.NoErr(others[1].Start())
+				time.Sleep(seconds(bounds.CatchUpS))
+			})
+		})
+	}
+}
--- a/sim/system/history_test.go
+++ b/sim/system/history_test.go
@@ -75,10 +75,28 @@
 // race runs operators, readers and faults for a time.
 func race(t *testing.T, w *World, lasting time.Duration) {
 	end := time.Now().Add(lasting)
+	controls := w.Of(protocol.RoleControl)
+	raceOrders(w, func() bool { return time.Now().Before(end) })
+	for i := 0; time.Now().Before(end); i++ {
+		p := controls[i%len(controls)]
+		if i%2 == 0 {
+			w.CutOff(p.IP, true)
+			time.Sleep(1500 * time.Millisecond)
+			w.CutOff(p.IP, false)
+		} else {
+			kill(t, p, 300*time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	time.Sleep(5 * time.Second) // the last calls end
+}
+
+// raceOrders has three operators race and two readers ask as long as it goes on.
+func raceOrders(w *World, goesOn func() bool) {
 	controls := w.Of(protocol.RoleControl)
 	for operator := range 3 {
 		w.running.Go(func() {
-			for round := 0; time.Now().Before(end); round++ {
+			for round := 0; goesOn(); round++ {
 				base := w.Operator.Newest().Revision
 				next := w.Operator.Document(base+1+(operator+round)%3, fifoRoute, plainRoute, pacedRoute)
 				next.Limits.IdleTimeoutMs += 1000*operator + round // no two are the same
@@ -89,22 +107,10 @@
 	}
 	for reader := range 2 {
 		w.running.Go(func() {
-			for i := reader; time.Now().Before(end); i++ {
+			for i := reader; goesOn(); i++ {
 				w.Operator.Read(at(controls[i%len(controls)].IP, controlPort))
 				time.Sleep(150 * time.Millisecond)
 			}
 		})
 	}
-	for i := 0; time.Now().Before(end); i++ {
-		p := controls[i%len(controls)]
-		if i%2 == 0 {
-			w.CutOff(p.IP, true)
-			time.Sleep(1500 * time.Millisecond)
-			w.CutOff(p.IP, false)
-		} else {
-			kill(t, p, 300*time.Millisecond)
-		}
-		time.Sleep(2 * time.Second)
-	}
-	time.Sleep(5 * time.Second) // the last calls end
 }
--- a/sim/system/judge.go
+++ b/sim/system/judge.go
@@ -21,6 +21,7 @@
 	troubled      []string
 	refusedOrLate []string // tries: when each was sent, after what time it was answered, and why
 	acked         []order  // acknowledged configurations in order
+	ackedAt       []time.Time
 	sent          map[string]bool
 	dropped       map[string]time.Time // routes by prefix: when the drop was acknowledged
 }
@@ -227,6 +228,37 @@
 		}
 	}
 	j.acked = append(j.acked, o)
+	j.ackedAt = append(j.ackedAt, time.Now())
+}
+
+// read judges a configuration that was asked for during the day: whoever answers, in touch or not, knows what was acknowledged so long before.
+func (j *Judge) read(asked time.Time, revision int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i, o := range j.acked {
+		if age := asked.Sub(j.ackedAt[i]); age > bounds.ConfigApply() && o.revision > revision {
+			j.breach("CONFIG", "version %d is read %v after version %d was acknowledged", revision, age, o.revision)
+			return
+		}
+	}
+}
+
+// recovered judges what was sent since all machines have been back for so long as a recovery may take: a quarter is to be accepted.
+func (j *Judge) recovered(back time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	sent, accepted := 0, 0
+	for _, m := range j.messages {
+		if m.sent.After(back.Add(seconds(bounds.RecoveryS))) {
+			sent++
+			if !m.accepted.IsZero() {
+				accepted++
+			}
+		}
+	}
+	if sent == 0 || 4*accepted < sent {
+		j.breach("RECOVER", "%d of %d messages sent later than %v s after the machines were back were accepted", accepted, sent, bounds.RecoveryS)
+	}
 }
 
 // readBack judges the configuration that the operator reads at the end; empty if none came.
--- a/sim/system/operator.go
+++ b/sim/system/operator.go
@@ -56,8 +56,10 @@
 	world   *World
 	client  *http.Client
 	History History
-	mu      sync.Mutex
-	newest  Document // acknowledged
+	// LoseAnswer, if set, tells of each answer to an order whether it is lost on its way. It is called from many goroutines.
+	LoseAnswer func() bool
+	mu         sync.Mutex
+	newest     Document // acknowledged
 }
 
 func newOperator(w *World) *Operator {
@@ -151,10 +153,15 @@
 		return 0, err
 	}
 	defer response.Body.Close()
+	if o.LoseAnswer != nil && o.LoseAnswer() {
+		return 0, errAnswerLost
+	}
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
 
+var errAnswerLost = errors.New("the answer was lost on its way")
+
 // ReadBack asks for the configuration until it comes or time is up, and has it judged.
 func (o *Operator) ReadBack(within time.Duration) {
 	limit := time.Now().Add(within)
@@ -181,6 +188,7 @@
 	}
 	if revision, again, ok := o.decode(body); ok {
 		o.History.read(began, readAnswer{revision: revision, body: again})
+		o.world.Judge.read(began, revision)
 	}
 }
 
--- a/sim/system/recovery_test.go
+++ b/sim/system/recovery_test.go
@@ -67,19 +67,6 @@
 	return found
 }
 
-// controlPrimary is the control process that is the active primary.
-func (w *World) controlPrimary() *Process {
-	host := w.Net.Host(operatorIP)
-	for _, p := range w.Of(protocol.RoleControl) {
-		_, body := w.get(host, "http://"+at(p.IP, controlPort)+"/status")
-		var page struct{ Active bool }
-		if json.Unmarshal([]byte(body), &page) == nil && page.Active {
-			return p
-		}
-	}
-	return w.Of(protocol.RoleControl)[0]
-}
-
 // TestRecoveryTimes measures each loss, and logs a line of JSON for it. In virtual time only net, disks and timers take time, no processor.
 func TestRecoveryTimes(t *testing.T) {
 	for i, loss := range losses {
--- a/sim/system/world.go
+++ b/sim/system/world.go
@@ -6,6 +6,7 @@
 package system
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -45,6 +46,7 @@
 	Folder        string // for the disks; empty for a folder that the run makes
 	Edges, Stores int    // machines; by default as many as FaultTolerance.Machines needs, that is 3 and 3. So many edges run control too
 	Machines      int    // FaultTolerance.Machines; 1 by default, negative for none
+	Control       int    // processes of control; by default a majority is left when Machines of them are lost
 	Net           virtualnet.Options
 	Disk          virtualdisk.Options
 	Logger        *zap.Logger
@@ -107,8 +109,8 @@
 	return w, w.Platform.listen()
 }
 
-// Controls is how many processes of control there are: a majority is left when Machines of them are lost.
-func (o Options) Controls() int { return max(3, 2*o.Machines+1) }
+// Controls is how many processes of control there are.
+func (o Options) Controls() int { return cmp.Or(o.Control, max(3, 2*o.Machines+1)) }
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Machines, 1)
