--- a/internal/roles/control/orders_test.go
+++ b/internal/roles/control/orders_test.go
@@ -8,6 +8,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"liftgauge/internal/agent"
+	"liftgauge/replication"
 )
 
 func TestOneOfTwoOrdersAtOnceWins(t *testing.T) {
@@ -37,6 +40,93 @@
 	}
 }
 
+// A primary whose state was taken over may not know yet. Without a majority it says nothing that is sure.
+func TestPrimaryWithoutAMajoritySaysNothingClear(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.startAll()
+	store := c.startStore(30, "disk")
+	second := c.startStore(31, "disk")
+	third := c.startStore(32, "disk")
+	c.await(store.Agent, "the first table", func(v *agent.View) bool {
+		return placed(v, store.member, second.member, third.member)
+	})
+	is.Equal(c.replace(c.machine(1), 0, configurationOf(5, "x")), http.StatusOK)
+	is.Equal(c.operator(c.machine(1), http.MethodPost, "/retire/"+store.name+"/start", 0, []byte(`{"DurationS":10}`)).status, http.StatusOK)
+	primary := c.primary()
+	for _, m := range c.machines {
+		if m != primary {
+			c.kill(m)
+		}
+	}
+	for _, call := range []struct {
+		method, path string
+		base         uint64
+		body         []byte
+	}{
+		{http.MethodPost, "/config/replace", 4, configurationOf(6, "another version is current")},
+		{http.MethodPost, "/config/replace", 5, configurationOf(5, "not higher")},
+		{http.MethodGet, "/config/describe", 0, nil},
+		{http.MethodPost, "/retire/nobody/start", 0, []byte(`{}`)},
+		{http.MethodPost, "/retire/" + second.name + "/start", 0, []byte(`{}`)},
+		{http.MethodGet, "/retire/" + store.name + "/describe", 0, nil},
+		{http.MethodGet, "/retire/" + second.name + "/describe", 0, nil},
+	} {
+		r, clear := c.call(primary, call.method, call.path, call.base, call.body)
+		if clear {
+			t.Errorf("%s %s (%s) is answered %d %s", call.method, call.path, call.body, r.status, r.body)
+		}
+	}
+}
+
+// A primary with fewer members than copies may hold an order that no other disk has: it acts once a learner has all, and not before.
+func TestPrimaryActsOnceItsStateIsOnEnoughDisks(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5)
+	c.startAll()
+	is.Equal(c.replace(c.machine(1), 0, configurationOf(5, "x")), http.StatusOK)
+	c.whole(3)
+	var view replication.ControlView
+	c.eventually("five witnesses", func() bool {
+		c.primary().onLoop(c, func(d *daemon) { view = d.elector.View() })
+		return len(view.Witnesses) == 5
+	})
+	var last *machine // the member that is left
+	for _, m := range c.machines {
+		var member string
+		m.onLoop(c, func(d *daemon) {
+			if member = d.self.Member; !view.IsMember(member) {
+				d.replica.Close() // it votes, and takes no records
+			}
+		})
+		switch {
+		case !view.IsMember(member) || member == view.Primary:
+		case last == nil:
+			last = m
+		default:
+			c.kill(m)
+		}
+	}
+	is.True(last != nil)
+	c.kill(c.primary())
+	c.eventually("the member that is left to lead alone", func() bool {
+		active := false
+		last.onLoop(c, func(d *daemon) { active = d.replica.IsActive() })
+		return active
+	})
+	if r, clear := c.call(last, http.MethodGet, "/config/describe", 0, nil); clear {
+		t.Errorf("one disk is enough for an answer: %d %s", r.status, r.body)
+	}
+	for _, m := range c.machines { // the two others come back with replicas
+		if m.process != nil && m != last {
+			c.kill(m)
+			c.start(m)
+		}
+	}
+	revision, _ := c.described(last)
+	is.Equal(revision, uint64(5))
+}
+
 func TestUpdateChangesNamedItems(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 3)
--- a/internal/roles/store/daemon_test.go
+++ b/internal/roles/store/daemon_test.go
@@ -410,6 +410,45 @@
 	is.Equal(<-statuses, protocol.AcceptUnknown)
 }
 
+// A store that has a message on its disk alone, from before its restart, says that it has it once another disk has it too: its own may be lost
+// next.
+func TestKnownMessageIsAnsweredOnceEnoughDisksHaveIt(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 2)
+	first := c.stores[0]
+	m := message("m1", "plain", "")
+	thaw := c.stores[1].freeze()
+	defer thaw()
+	first.on(func(s *store) { s.receiveAccept(m.Append(nil), func([]byte, error) {}) })
+	synced := make(chan struct{})
+	first.on(func(s *store) {
+		s.storage.Append(groupOf(99), nil, func(error) { close(synced) }) // behind the write of the message
+	})
+	<-synced
+	first.kill()
+	first = startStoreOn(t, c.control, first.name, first.settings.DataDir)
+	c.stores[0] = first
+	c.control.await(func() bool { return c.control.nodes[first.node().Key].Incarnation == first.node().Incarnation })
+	c.control.publishNodes()
+	c.view(0) // alone
+	first.await(func(s *store) bool {
+		p := s.partitions[0]
+		return p != nil && p.leading && p.knows("m1")
+	})
+	answers := make(chan protocol.AcceptStatus, 1)
+	first.on(func(s *store) {
+		s.receiveAccept(m.Append(nil), func(body []byte, err error) {
+			is.NoErr(err)
+			var reply protocol.AcceptReply
+			is.NoErr(reply.Decode(body))
+			answers <- reply.Status
+		})
+	})
+	is.Equal(len(answers), 0)
+	c.view(1) // another takes over, without the message
+	is.Equal(<-answers, protocol.AcceptUnknown)
+}
+
 func TestNewPrimaryWaitsForTheHelloByItsTable(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, 2)
