--- a/internal/roles/control/stores_test.go
+++ b/internal/roles/control/stores_test.go
@@ -105,12 +105,17 @@
 	stores := []*fakeStore{c.startStore(30, "disk"), c.startStore(31, "disk"), c.startStore(32, "disk")}
 	c.await(stores[0].Agent, "the first table", func(v *agent.View) bool { return len(v.Partitions.Partitions) > 0 })
 	start := func(name string) int {
-		return c.operator(c.machine(2), http.MethodPost, "/retire/"+name+"/start", 0, []byte(`{"DurationS":10}`)).status
+		r := c.operator(c.machine(2), http.MethodPost, "/retire/"+name+"/start", 0, []byte(`{"DurationS":10}`))
+		if name == stores[0].name {
+			is.Equal(r.body, `{"State":"running"}`) // nothing can have been moved yet
+		}
+		return r.status
 	}
 	is.Equal(start("storage-99"), http.StatusNotFound)
 	is.Equal(start("control-1"), http.StatusNotFound) // not a storage machine
 	is.Equal(start(stores[0].name), http.StatusOK)
-	is.Equal(start(stores[0].name), http.StatusOK) // again
+	again := c.operator(c.machine(1), http.MethodPost, "/retire/"+stores[0].name+"/start", 0, []byte(`{"DurationS":10}`))
+	is.Equal(again.status, http.StatusOK)
 	is.Equal(start(stores[1].name), http.StatusConflict)
 	c.eventually("the end of the retirement", func() bool {
 		r := c.operator(c.machine(1), http.MethodGet, "/retire/"+stores[0].name+"/describe", 0, nil)
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -225,4 +225,16 @@
 		New:     "r.Table.Less(g.floor)",
 		Package: "./internal/roles/store",
 	},
+	{
+		Promise: "a member whose replica did not join may learn", File: "replication/proposal.go",
+		Old:     "b.addLearners(t.view.Learners, fit)\n\t\tb.addLearners(b.witnesses, fit)",
+		New:     "b.addLearners(t.view.Learners, joinable)\n\t\tb.addLearners(b.witnesses, joinable)",
+		Package: "./replication",
+	},
+	{
+		Promise: "a learner that is equal is joinable", File: "replication/elector.go",
+		Old:     "\t\t\tdelete(e.unjoinable, learner) // it has joined\n",
+		New:     "",
+		Package: "./replication",
+	},
 }
--- a/replication/elector.go
+++ b/replication/elector.go
@@ -32,7 +32,7 @@
 	introducedFor   = time.Second     // a process that introduced itself counts as alive
 	foundingPeriod  = time.Second     // to wait for all seeds; a majority is enough then
 	witnessGoneFor  = 3 * time.Second // before a silent witness is replaced
-	unjoinableFor   = 3 * time.Second // a member whose replica did not join is left out for so long
+	unjoinableFor   = 3 * time.Second // a member whose replica did not join is a learner for so long, or until it is equal
 	confirmDeadline = 2 * time.Second
 )
 
@@ -165,6 +165,7 @@
 	return e.run(now, func() {
 		if e.tenure != nil && e.tenure.epoch() == epoch {
 			e.tenure.offered[learner] = true
+			delete(e.unjoinable, learner) // it has joined
 		}
 	})
 }
--- a/replication/elector_test.go
+++ b/replication/elector_test.go
@@ -228,6 +228,83 @@
 	is.True(actions[0].(Answer).Stands)
 }
 
+// Witnesses of two views are not counted together: neither may have a majority.
+func TestConfirmBeginsAnewWithEachView(t *testing.T) {
+	is := is.New(t)
+	e, v := newPrimary()
+	v.Epoch, v.Witnesses = 8, []MemberID{"a", "b", "c", "d", "e"}
+	v.Peers = append(v.Peers, Peer{"d", "md"}, Peer{"e", "me"})
+	e.run(0, func() { e.establish(v) })
+	e.Confirm(0, nil)
+	answer := func(from int, epoch uint64) int {
+		confirmed := 0
+		for _, a := range e.Receive(ElectionFrame{From: v.Peers[from], Message: &AliveAnswer{Epoch: epoch, Round: e.tenure.round, Stands: true}}, 0) {
+			if _, ok := a.(Answer); ok {
+				confirmed++
+			}
+		}
+		return confirmed
+	}
+	is.Equal(answer(1, 8), 0) // with the own witness two of five
+	v.Epoch = 9
+	e.run(0, func() { e.establish(v) })
+	is.Equal(answer(2, 9), 0)
+	is.Equal(answer(3, 9), 1) // three of five of this view, the one of before not among them
+}
+
+// A witness goes into the set and another out by majorities of both sets.
+func TestViewNeedsMajoritiesOfBothSetsOfWitnesses(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		before, after, accepted []MemberID
+		decided                 bool
+	}{
+		{[]MemberID{"a", "b", "c", "d"}, []MemberID{"a", "b", "c"}, []MemberID{"a", "b"}, false},
+		{[]MemberID{"a", "b", "c", "d"}, []MemberID{"a", "b", "c"}, []MemberID{"a", "b", "d"}, true},
+		{[]MemberID{"a", "b", "c"}, []MemberID{"a", "b", "c", "d"}, []MemberID{"a", "b"}, false},
+		{[]MemberID{"a", "b", "c"}, []MemberID{"a", "b", "c", "d"}, []MemberID{"a", "b", "d"}, true},
+		{[]MemberID{"a", "b", "c"}, []MemberID{"a", "b", "d"}, []MemberID{"a", "d"}, false},
+	} {
+		b := newBallot(9, ControlView{View: View{Epoch: 8}, Witnesses: c.before}, 3)
+		b.propose(ControlView{Witnesses: c.after}, "a")
+		for _, id := range c.accepted {
+			b.accepted[id] = true
+		}
+		is.Equal(b.decided(), c.decided)
+	}
+}
+
+// A candidate that learns of a view in which it is a witness only has not what was acknowledged there: it leaves the field to a member.
+func TestCandidateThatWasLeftOutYields(t *testing.T) {
+	is := is.New(t)
+	_, v := newPrimary()
+	e := NewElector(ElectorOptions{Self: v.Peers[0], Tolerate: 1, Random: noRandom, Register: &Register{Promised: 7, Candidate: "b", Installed: v}})
+	e.Tick(0)
+	e.run(0, func() { e.startCandidacy(false) })
+	epoch := e.candidacy.epoch
+	later := v.Clone()
+	later.Epoch, later.Primary, later.Members = 8, "b", []MemberID{"b", "c"}
+	var actions []Action
+	for _, from := range v.Peers[1:] {
+		answer := &PrepareAnswer{Epoch: epoch, Granted: true, Promised: epoch, Installed: later}
+		actions = append(actions, e.Receive(ElectionFrame{From: from, Message: answer}, 0)...)
+	}
+	actions = append(actions, e.Tick(2*gracePeriod)...)
+	campaigns := 0
+	for _, a := range actions {
+		switch a := a.(type) {
+		case PrepareView:
+			t.Errorf("prepares %v, without what was acknowledged in %v", a.View, later)
+		case SendElection:
+			if _, ok := a.Frame.Message.(*Campaign); ok {
+				campaigns++
+			}
+		}
+	}
+	is.Equal(campaigns, 1)
+	is.True(e.candidacy == nil)
+}
+
 // An old primary that reaches the others again must not be told that it stands, although it has not heard of the new one yet.
 
 func TestConfirmOfAReplacedPrimary(t *testing.T) {
@@ -282,6 +359,35 @@
 	is.True(now <= 10*time.Second+defaultSilence+100*time.Millisecond)
 }
 
+// Members whose replicas did not join are learners, for whom nobody waits, and members again as soon as they are equal.
+func TestMembersThatDidNotJoinAreLearners(t *testing.T) {
+	is := is.New(t)
+	e, v := newPrimary()
+	e.unjoinable["b"], e.unjoinable["c"] = unjoinableFor, unjoinableFor
+	wanted := e.desired()
+	is.Equal(wanted.Members, []MemberID{"a"})
+	is.Equal(wanted.Learners, []MemberID{"b", "c"})
+	wanted.Epoch, wanted.Primary = 8, "a"
+	e.run(0, func() { e.establish(wanted) })
+	e.Offered(8, "c", 0)
+	wanted = e.desired()
+	is.Equal(wanted.Members, []MemberID{"a", "c"})
+	is.Equal(wanted.Learners, []MemberID{"b"})
+
+	// A candidate does the same with those that have promised.
+	e = NewElector(ElectorOptions{Self: v.Peers[0], Tolerate: 1, Random: noRandom, Register: &Register{Promised: 7, Candidate: "b", Installed: v}})
+	e.Tick(0)
+	e.unjoinable["b"] = unjoinableFor
+	e.run(0, func() {
+		e.startCandidacy(false)
+		e.candidacy.answers["b"] = &PrepareAnswer{Granted: true}
+		e.candidacy.answers["c"] = &PrepareAnswer{Granted: true}
+		wanted = e.proposal(e.candidacy)
+	})
+	is.Equal(wanted.Members, []MemberID{"a", "c"})
+	is.Equal(wanted.Learners, []MemberID{"b"})
+}
+
 func TestMemberAtAnotherAddressIsTakenThere(t *testing.T) {
 	is := is.New(t)
 	e, _ := newPrimary()
--- a/replication/proposal.go
+++ b/replication/proposal.go
@@ -10,20 +10,24 @@
 	if c.founding {
 		return e.foundingView(c)
 	}
-	// Members that have answered stay, and nothing else may change before this process is the primary.
+	// Members that have answered stay, and nothing else may change before this process is the primary. Those whose replicas did not join
+	// lately are learners: nobody waits for these, and without them there may be too few copies.
 	answered := func(id MemberID) bool {
 		a := c.answers[id]
-		return id == e.o.Self.Member || a != nil && !a.Leaving && !e.leftOut(id)
+		return id == e.o.Self.Member || a != nil && !a.Leaving
 	}
+	joinable := func(id MemberID) bool { return answered(id) && !e.leftOut(id) }
 	b := viewBuilder{self: e.o.Self, limit: e.o.Tolerate + 2}
 	b.witnesses = slices.Clone(c.base.Witnesses)
-	b.addMembers(c.base.Members, answered)
-	b.addLearners(c.base.Learners, answered)
-	b.addLearners(c.base.Witnesses, answered)
+	b.addMembers(c.base.Members, joinable)
+	for _, fit := range []func(MemberID) bool{joinable, answered} {
+		b.addLearners(c.base.Learners, fit)
+		b.addLearners(c.base.Witnesses, fit)
+	}
 	return b.build(func(id MemberID) Peer { return e.find(id, c.base) })
 }
 
-// leftOut tells whether a member's replica did not join lately.
+// leftOut tells whether a member's replica did not join lately, so that it may be a learner only.
 func (e *Elector) leftOut(id MemberID) bool { return e.now < e.unjoinable[id] }
 
 // viewBuilder puts a view together, the own process first.
@@ -67,14 +71,17 @@
 func (e *Elector) desired() ControlView {
 	t := e.tenure
 	alive := func(id MemberID) bool { return id == e.o.Self.Member || t.alive(e, id) }
+	joinable := func(id MemberID) bool { return alive(id) && !e.leftOut(id) }
 	b := viewBuilder{self: e.o.Self, limit: e.o.Tolerate + 2}
 	b.witnesses = e.desiredWitnesses()
-	present := func(id MemberID) bool { return slices.Contains(b.witnesses, id) && alive(id) }
+	present := func(id MemberID) bool { return slices.Contains(b.witnesses, id) && joinable(id) }
 	b.addMembers(t.view.Members, present)
 	b.addMembers(t.view.Learners, func(id MemberID) bool { return t.offered[id] && present(id) })
-	b.addLearners(t.view.Learners, alive)
-	b.addLearners(b.witnesses, alive)
-	b.addLearners(e.applicants(), alive)
+	for _, fit := range []func(MemberID) bool{joinable, alive} {
+		b.addLearners(t.view.Learners, fit)
+		b.addLearners(b.witnesses, fit)
+		b.addLearners(e.applicants(), fit)
+	}
 	return b.build(func(id MemberID) Peer {
 		if intro, ok := e.introduced[id]; ok {
 			return intro.peer
--- a/replication/replica_test.go
+++ b/replication/replica_test.go
@@ -188,6 +188,37 @@
 	is.Equal(len(m.nodes["n1"].storage.durable[modelGroup]), 4)
 }
 
+// The primary hears of a gap with the next batch, and need not wait for acks in vain.
+func TestGapInAStreamIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	m := newGroup(t, 2, 2, 2)
+	m.put("n0", "lost")
+	m.queues[link{"n0", "n1"}] = nil
+	m.put("n0", "k")
+	is.True(m.deliver(link{"n0", "n1"}))
+	is.True(m.deliver(link{"n1", "n0"}))
+	is.Equal(m.nodes["n0"].replica.lead.peers["n1"].state, peerFailed)
+}
+
+// A primary that restarts in its epoch does not know which learners it offered before: whoever decides views may count on any of them.
+func TestResumedPrimaryWaitsForEveryLearner(t *testing.T) {
+	is := is.New(t)
+	m := newGroup(t, 3, 2, 2)
+	m.install(View{Epoch: 2, Primary: "n0", Members: []MemberID{"n0", "n1"}, Learners: []MemberID{"n2"}})
+	is.True(m.offers["n2"])
+	m.nodes["n2"].stop(0)
+	m.nodes["n0"].stop(0)
+	m.nodes["n0"].start()
+	m.drain()
+	is.True(m.nodes["n0"].replica.IsActive())
+	answer := m.put("n0", "k")
+	m.drain()
+	is.Equal(*answer, errNoAnswer) // two disks have it, and n2 may become primary
+	m.nodes["n2"].start()
+	m.drain()
+	is.Equal(*answer, nil)
+}
+
 // countedLink runs until nothing happens and counts the messages between two nodes.
 func (m *replicaModel) countMessages(a, b MemberID) int {
 	count := 0
--- a/replication/tenure.go
+++ b/replication/tenure.go
@@ -28,7 +28,7 @@
 	if intro, introduced := e.introduced[id]; introduced && !ok {
 		at, ok = intro.at, true
 	}
-	return ok && e.now-at < e.o.Silence && !t.leaving[id] && !e.leftOut(id) && !e.isReplaced(id)
+	return ok && e.now-at < e.o.Silence && !t.leaving[id] && !e.isReplaced(id)
 }
 
 func (t *tenure) hearsMajority(e *Elector) bool {
