--- a/sim/system/controlfaults.go
+++ b/sim/system/controlfaults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"liftgauge/internal/protocol"
+	"liftgauge/internal/statuspage"
 )
 
 // longCut is how long the control side is cut in the worst of its faults.
@@ -163,6 +164,30 @@
 	return controls[0]
 }
 
+// controlIsWhole tells whether the active primary has all control processes, each with its present disk, as witnesses, F+2 of them as members, and
+// nobody behind.
+func (w *World) controlIsWhole() bool {
+	host := w.Net.Host(operatorIP)
+	controls := w.Of(protocol.RoleControl)
+	var present []string
+	var active statuspage.Page
+	for _, p := range controls {
+		_, body := w.get(host, "http://"+at(p.IP, controlPort)+"/status")
+		var page statuspage.Page
+		if json.Unmarshal([]byte(body), &page) != nil {
+			return false
+		}
+		present = append(present, page.Member)
+		if page.Active {
+			active = page
+		}
+	}
+	slices.Sort(present)
+	slices.Sort(active.Witnesses)
+	members := min(len(controls), w.options.Machines+2)
+	return slices.Equal(present, active.Witnesses) && len(active.Members) == members && len(active.Learners)+len(active.Blocked) == 0
+}
+
 // others lists the processes of the same role.
 func (w *World) others(p *Process) []*Process {
 	return slices.DeleteFunc(w.Of(p.Role), func(other *Process) bool { return other == p })
--- a/sim/system/controlfaults_test.go
+++ b/sim/system/controlfaults_test.go
@@ -149,3 +149,37 @@
 		})
 	}
 }
+
+// TestControlIsWholeWithinCatchUp takes the disks of two processes of control one after the other, the second as soon as the first counts as whole,
+// and measures how long the group takes to survive F losses again: all processes are witnesses and F+2 of them members, none behind.
+func TestControlIsWholeWithinCatchUp(t *testing.T) {
+	for _, o := range []Options{
+		{Control: 3, Machines: 1}, {Control: 4, Machines: 1}, {Control: 5, Machines: 1}, {Control: 5, Machines: 2},
+		{Control: 6, Machines: 2}, {Control: 9, Machines: 2},
+	} {
+		t.Run(fmt.Sprintf("%d processes, F %d", o.Control, o.Machines), func(t *testing.T) {
+			t.Parallel()
+			o.Seed, o.Edges = 14, o.Control
+			play(t, o, func(t *testing.T, w *World) {
+				is := is.NewRelaxed(t)
+				for _, which := range []string{"the primary", "another member", "the primary again"} {
+					p := w.controlPrimary()
+					if which == "another member" {
+						p = w.others(p)[0]
+					}
+					is.NoErr(p.LosePower())
+					p.Wipe()
+					time.Sleep(500 * time.Millisecond)
+					is.NoErr(p.Start())
+					back := time.Now()
+					for !w.controlIsWhole() && time.Since(back) < 2*seconds(bounds.CatchUpS) {
+						time.Sleep(wholePoll)
+					}
+					took := time.Since(back)
+					t.Logf("WHOLE %d processes, F %d, %s: %v after its return", o.Control, o.Machines, which, took.Round(wholePoll))
+					is.True(took <= seconds(bounds.CatchUpS))
+				}
+			})
+		})
+	}
+}
