Ask for no more copies of control's records than a majority of its witnesses is

Copies are now F+1, at most a majority of the view's witnesses.

Also: the model drew a random number on two goroutines (race detector, test.sh).

--- a/internal/roles/control/membership.go
+++ b/internal/roles/control/membership.go
@@ -68,6 +68,7 @@
 	for _, p := range view.Peers {
 		d.learnPeer(p.Member, p.Address, false)
 	}
+	d.replica.SetCopies(view.UsefulCopies(d.settings.Copies()))
 	d.replica.Install(view.View)
 	if view.Primary != d.self.Member {
 		d.deactivate()
--- a/internal/roles/control/orders_test.go
+++ b/internal/roles/control/orders_test.go
@@ -79,6 +79,22 @@
 	calls.Wait()
 }
 
+// Three processes of control bear the loss of one, whatever FaultTolerance asks of the stores: orders go on without it.
+func TestOrdersGoOnWithTwoOfThreeWhereMoreCopiesAreWanted(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	for _, m := range c.machines {
+		m.settings.FaultTolerance.Machines = 2
+	}
+	c.startAll()
+	is.Equal(c.replace(c.machine(1), 0, configurationOf(5, "x")), http.StatusOK)
+	c.whole(3)
+	c.kill(c.primary())
+	is.Equal(c.replace(c.machine(1), 5, configurationOf(6, "x")), http.StatusOK)
+	revision, _ := c.described(c.machine(2))
+	is.Equal(revision, uint64(6))
+}
+
 // A primary with fewer members than copies may hold an order that no other disk has: it acts once a learner has all, and not before.
 func TestPrimaryActsOnceItsStateIsOnEnoughDisks(t *testing.T) {
 	is := is.New(t)
--- a/replication/elector_test.go
+++ b/replication/elector_test.go
@@ -252,6 +252,16 @@
 	is.Equal(answer(3, 9), 1) // three of five of this view, the one of before not among them
 }
 
+func TestUsefulCopies(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ witnesses, wanted, useful int }{
+		{0, 2, 2}, {1, 2, 1}, {3, 2, 2}, {3, 3, 2}, {4, 3, 3}, {4, 2, 2}, {5, 3, 3}, {9, 3, 3},
+	} {
+		v := ControlView{Witnesses: make([]MemberID, c.witnesses)}
+		is.Equal(v.UsefulCopies(c.wanted), c.useful)
+	}
+}
+
 // A witness goes into the set and another out by majorities of both sets.
 func TestViewNeedsMajoritiesOfBothSetsOfWitnesses(t *testing.T) {
 	is := is.New(t)
--- a/replication/replica.go
+++ b/replication/replica.go
@@ -176,6 +176,9 @@
 	}
 }
 
+// SetCopies changes how many disks a write must be on at least. Writes that wait are looked at again with the next event.
+func (r *Replica) SetCopies(copies int) { r.o.Copies = copies }
+
 // View returns the newest installed view.
 func (r *Replica) View() View { return r.view }
 
--- a/replication/replica_test.go
+++ b/replication/replica_test.go
@@ -47,6 +47,17 @@
 	is.Equal(m.nodes["n1"].storage.durable[modelGroup]["ak"].Value, []byte("k"))
 }
 
+func TestFewerCopiesLetWritesGoOn(t *testing.T) {
+	is := is.New(t)
+	m := newGroup(t, 2, 1, 2)
+	answer := m.put("n0", "k")
+	m.drain()
+	is.Equal(*answer, errNoAnswer)
+	m.nodes["n0"].replica.SetCopies(1)
+	m.install(View{Epoch: 2, Primary: "n0", Members: []MemberID{"n0"}})
+	is.Equal(*answer, nil)
+}
+
 // settle has a node settle and returns where its answer will be.
 func (m *replicaModel) settleAt(id MemberID) *error {
 	answer := new(error)
--- a/sim/system/controlfaults.go
+++ b/sim/system/controlfaults.go
@@ -36,7 +36,8 @@
 	{"primary cut off one way", func(w *World, random *rand.Rand) error {
 		primary := w.controlPrimary()
 		for _, other := range w.others(primary) {
-			w.running.Go(func() { w.cutPair(primary.IP, other.IP, false, random.IntN(2) == 0, 4*time.Second) })
+			reset := random.IntN(2) == 0
+			w.running.Go(func() { w.cutPair(primary.IP, other.IP, false, reset, 4*time.Second) })
 		}
 		time.Sleep(5 * time.Second)
 		return nil
