Wait for two of control's disks always; leave no witness alone

Sets of two are not left, and two copies are waited for wherever F is 1 or more. No change where there are three or more processes.

--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -237,4 +237,14 @@
 		New:     "",
 		Package: "./replication",
 	},
+	{
+		Promise: "a process that leaves leaves the witnesses", File: "replication/proposal.go",
+		Old: "return n > 2 && spare(n-1, 0) > spare(n, 1)", New: "return n > 2 && spare(n-1, 0) > n",
+	},
+	{
+		Promise: "copies are at most a majority of the witnesses", File: "internal/roles/control/membership.go",
+		Old:     "\td.replica.SetCopies(view.UsefulCopies(d.settings.Copies()))\n",
+		New:     "",
+		Package: "./internal/roles/control",
+	},
 }
--- a/replication/controlview.go
+++ b/replication/controlview.go
@@ -41,12 +41,9 @@
 
 // UsefulCopies returns how many copies of the group's records are worth waiting for where so many are wanted: a loss of more disks than leaves a
 // majority of the witnesses cannot be survived by any number of copies, and to wait for more would stop all changes with each process that is
-// away.
+// away. Two are always waited for: a set may be small for a moment only, until an empty disk that came back is a witness.
 func (v ControlView) UsefulCopies(wanted int) int {
-	if len(v.Witnesses) == 0 {
-		return wanted
-	}
-	return min(wanted, majority(len(v.Witnesses)))
+	return min(wanted, max(2, majority(len(v.Witnesses))))
 }
 
 // majority returns how many of n are more than half of them.
--- a/replication/elector_test.go
+++ b/replication/elector_test.go
@@ -255,7 +255,7 @@
 func TestUsefulCopies(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct{ witnesses, wanted, useful int }{
-		{0, 2, 2}, {1, 2, 1}, {3, 2, 2}, {3, 3, 2}, {4, 3, 3}, {4, 2, 2}, {5, 3, 3}, {9, 3, 3},
+		{0, 2, 2}, {1, 2, 2}, {1, 1, 1}, {2, 3, 2}, {3, 2, 2}, {3, 3, 2}, {4, 3, 3}, {4, 2, 2}, {5, 3, 3}, {9, 3, 3},
 	} {
 		v := ControlView{Witnesses: make([]MemberID, c.witnesses)}
 		is.Equal(v.UsefulCopies(c.wanted), c.useful)
--- a/replication/proposal.go
+++ b/replication/proposal.go
@@ -136,8 +136,8 @@
 	return slices.Clone(t.view.Witnesses)
 }
 
-// mayLeave tells whether a set of n witnesses survives more without one of them than with that one gone.
-func mayLeave(n int) bool { return n > 1 && spare(n-1, 0) > spare(n, 1) }
+// mayLeave tells whether a set of n witnesses survives more without one of them than with that one gone. One witness alone is no set to be left to.
+func mayLeave(n int) bool { return n > 2 && spare(n-1, 0) > spare(n, 1) }
 
 // spare returns how many more witnesses may be lost of n when some are gone already, before there is no majority.
 func spare(n, gone int) int { return n - gone - majority(n) }
