Tell those left out of a view; take in no witness that is about to end

Since a leaving witness is left out of an even set, one view may drop a process as member and as witness at once. Then nobody spoke to it any more, and it waited for its successor until its patience ended (1.5 s in service, for ever in the test). And a process that had introduced itself within the last second was taken back as a witness at the next beat, left out again, and so on: six views in 0.3 s. Ruled out: lost or slow orders (14,000 went through while the one process waited), the disk (the same on a file system in memory). A primary now tells its view to those whom it left out, for a second or until they answer; an introduction of a process that is leaving counts only when it has started again; and word from a process outside of the view is no sign that it hears.

--- a/replication/cluster_fault_test.go
+++ b/replication/cluster_fault_test.go
@@ -242,6 +242,35 @@
 	is.True(elected >= runs-late)
 }
 
+// TestPlannedEndRightAfterAStart ends one of four processes when it has just introduced itself, also as a member that the same view leaves out
+// as a witness: it is left out once, learns of it, and is taken in again when it is back.
+func TestPlannedEndRightAfterAStart(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(40) {
+		c := newRunningCluster(t, seed, 4, 4)
+		p := c.procs[seed%4]
+		if c.primary() == p {
+			p = c.procs[(seed+1)%4]
+		}
+		p.stop(false)
+		c.run(c.between(20*time.Millisecond, 700*time.Millisecond))
+		p.start()
+		c.run(c.between(20*time.Millisecond, 700*time.Millisecond))
+		p.do(func() { p.act(p.elector.Resign(c.now)) })
+		c.run(400 * time.Millisecond)
+		is.Equal(c.failure, "")
+		is.True(!p.elector.IsNeeded()) // it has heard that the others do without it
+		left := c.primary().elector.View()
+		is.True(!left.IsWitness(p.member()))
+		c.run(500 * time.Millisecond)
+		is.Equal(c.primary().elector.View().Epoch, left.Epoch) // and the others are content
+		p.stop(false)
+		p.start()
+		c.run(time.Second)
+		is.True(c.primary().elector.View().IsWitness(p.member()))
+	}
+}
+
 func TestPlannedEndOfThePrimaryIsShort(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(20) {
--- a/replication/elector.go
+++ b/replication/elector.go
@@ -30,6 +30,7 @@
 	gracePeriod     = 100 * time.Millisecond // for the last answers once there is a majority
 	introduceEvery  = 300 * time.Millisecond
 	introducedFor   = time.Second     // a process that introduced itself counts as alive
+	dismissalPeriod = time.Second     // for those that were left out of a view to be told of it
 	foundingPeriod  = time.Second     // to wait for all seeds; a majority is enough then
 	witnessGoneFor  = 3 * time.Second // before a silent witness is replaced
 	unjoinableFor   = 3 * time.Second // a member whose replica did not join is a learner for so long, or until it is equal
--- a/replication/founding.go
+++ b/replication/founding.go
@@ -115,6 +115,9 @@
 	e.meetFounder(from, m.Founder)
 	e.forgetIntroductions(from)
 	e.introduced[from.Member] = introduction{peer: from, at: e.now}
+	if e.tenure != nil {
+		delete(e.tenure.leaving, from.Member) // it has started again
+	}
 	known := e.contact
 	if e.decided.Epoch >= known.Epoch {
 		known = e.decided
--- a/replication/proposal.go
+++ b/replication/proposal.go
@@ -90,11 +90,11 @@
 	})
 }
 
-// applicants lists the processes that have introduced themselves lately, in a fixed order.
+// applicants lists the processes that have introduced themselves lately and are not about to end, in a fixed order.
 func (e *Elector) applicants() []MemberID {
 	var ids []MemberID
 	for id, intro := range e.introduced {
-		if e.now-intro.at < introducedFor {
+		if e.now-intro.at < introducedFor && !e.tenure.leaving[id] {
 			ids = append(ids, id)
 		}
 	}
--- a/replication/tenure.go
+++ b/replication/tenure.go
@@ -1,13 +1,18 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // tenure is what an elector knows as the primary of an installed view.
 type tenure struct {
 	view      ControlView
-	heard     map[MemberID]time.Duration // when each was heard of last
+	began     time.Duration
+	heard     map[MemberID]time.Duration // when each peer of the view was heard of last
 	leaving   map[MemberID]bool
 	informed  map[MemberID]bool // has the view
+	dismissed []Peer            // were in a view before and are not in this one; they are told of it
 	foreign   map[MemberID]bool // witnesses that promised a higher epoch to somebody else
 	contested time.Duration     // since when they have been too many; zero: they are not
 	offered   map[MemberID]bool
@@ -51,6 +56,7 @@
 func (e *Elector) establish(v ControlView) {
 	t := &tenure{
 		view:     v.Clone(),
+		began:    e.now,
 		heard:    make(map[MemberID]time.Duration),
 		leaving:  make(map[MemberID]bool),
 		informed: make(map[MemberID]bool),
@@ -60,7 +66,11 @@
 	for _, p := range v.Peers {
 		t.heard[p.Member] = e.now
 	}
+	if c := e.candidacy; c != nil {
+		t.dismiss(c.base.Peers)
+	}
 	if old := e.tenure; old != nil {
+		t.dismiss(old.dismissed)
 		t.round = old.round
 		t.leaving = old.leaving
 		for id := range t.heard {
@@ -81,6 +91,16 @@
 	e.beat()
 }
 
+// dismiss has those peers told of the view that are not in it: a process that is about to end waits to be left out.
+func (t *tenure) dismiss(peers []Peer) {
+	for _, p := range peers {
+		present := func(other Peer) bool { return other.Member == p.Member || other.Address == p.Address }
+		if !slices.ContainsFunc(t.view.Peers, present) && !slices.ContainsFunc(t.dismissed, present) {
+			t.dismissed = append(t.dismissed, p)
+		}
+	}
+}
+
 // lose ends the tenure.
 func (e *Elector) lose() {
 	epoch := e.tenure.epoch()
@@ -94,20 +114,35 @@
 	e.failConfirms()
 }
 
-// beat tells everybody in the view that the primary is alive, in a new round.
+// beat tells everybody in the view that the primary is alive, in a new round. Those that are in the view no more are told of it, until they
+// answer or have had time enough.
 func (e *Elector) beat() {
 	t := e.tenure
 	t.round++
 	t.sentAt = e.now
 	for _, p := range t.view.Peers {
-		m := &Alive{Epoch: t.epoch(), Round: t.round}
+		e.tellAlive(p)
+	}
+	if e.now-t.began >= dismissalPeriod {
+		t.dismissed = nil
+	}
+	for _, p := range t.dismissed {
 		if !t.informed[p.Member] {
-			m.View = t.view.Clone()
+			e.tellAlive(p)
 		}
-		e.send(p, m)
 	}
 }
 
+// tellAlive sends word of the primary, with the view where it may not be known.
+func (e *Elector) tellAlive(to Peer) {
+	t := e.tenure
+	m := &Alive{Epoch: t.epoch(), Round: t.round}
+	if !t.informed[to.Member] {
+		m.View = t.view.Clone()
+	}
+	e.send(to, m)
+}
+
 func (e *Elector) tickTenure() {
 	t := e.tenure
 	if e.now-t.sentAt >= e.o.Interval {
@@ -212,7 +247,9 @@
 	if t == nil || m.Epoch != t.epoch() {
 		return
 	}
-	t.heard[from.Member] = e.now
+	if t.view.Address(from.Member) != "" { // what others say of themselves is no sign that they hear
+		t.heard[from.Member] = e.now
+	}
 	t.leaving[from.Member] = m.Leaving
 	t.informed[from.Member] = m.Installed == m.Epoch
 	t.foreign[from.Member] = m.Foreign
