Put a partition together from what is left when the last member's disk is lost

Cause: after a failover a partition's view has fewer members than Copies until a learner is equal. The loss of the last member's disk in that time left it without a primary for good, although with no more than F disks lost all that was acknowledged is on those of the others: older writes on the store that was left out, newer ones on the learner. The same where a store was left out because it was apart: it dropped its records at once, with one copy left. Ruled out: writes that wait for F+1 members (every failover would refuse while a repair lasts). Now a view without Copies members keeps all stores of the view before listed, as learners or as holders that only keep what they have. When the disks of all members are lost (each node is live with another one), with no more than F of those listed, and the rest is live, one of them becomes primary with the rest as sources: it takes the newest version of each record from all of them, by range digests and two new messages, before it writes or is active. A record that was deleted meanwhile may come back; what has ended keeps its state for StatusS, so nothing runs again by that. Found on the way by the model of replicas: a primary that wrote before it had absorbed, and one that absorbed a second time in a later epoch, brought acknowledged writes back to older versions; both are refused now.

--- a/internal/protocol/item.go
+++ b/internal/protocol/item.go
@@ -1,6 +1,9 @@
 package protocol
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ItemKind names one of the items that every process holds.
 type ItemKind uint8
@@ -87,6 +90,13 @@
 	Primary   string // member
 	Members   []string
 	Learners  []string
+	Sources   []string // learners that the primary takes records from before it is active
+	Holders   []string // take no part, and keep what they have
+}
+
+// Names tells whether the view names a member that may hold records.
+func (m *PartitionView) Names(member string) bool {
+	return slices.Contains(m.Members, member) || slices.Contains(m.Learners, member) || slices.Contains(m.Holders, member)
 }
 
 // PartitionTable is the body of an ItemPartitions item; partition n is at index n.
--- a/internal/protocol/item_codec.go
+++ b/internal/protocol/item_codec.go
@@ -101,6 +101,8 @@
 	c.string(&m.Primary)
 	c.strings(&m.Members)
 	c.strings(&m.Learners)
+	c.strings(&m.Sources)
+	c.strings(&m.Holders)
 }
 
 // Append implements Message.
--- a/internal/protocol/table_codec.go
+++ b/internal/protocol/table_codec.go
@@ -29,7 +29,7 @@
 	for i := range views {
 		v := &views[i]
 		n.add(v.Primary)
-		for _, members := range [][]string{v.Members, v.Learners} {
+		for _, members := range [][]string{v.Members, v.Learners, v.Sources, v.Holders} {
 			for _, member := range members {
 				n.add(member)
 			}
@@ -74,4 +74,6 @@
 	m.names.pass(c, &m.view.Primary)
 	list(c, &m.view.Members, m.names.pass)
 	list(c, &m.view.Learners, m.names.pass)
+	list(c, &m.view.Sources, m.names.pass)
+	list(c, &m.view.Holders, m.names.pass)
 }
--- a/internal/roles/control/membership.go
+++ b/internal/roles/control/membership.go
@@ -98,7 +98,7 @@
 // that the request came from, so that both break together.
 func (d *daemon) sendReplication(to string, m replication.Message) {
 	body := replicationBody(d.self.Member, to, m)
-	if isReplicationRequest(m) {
+	if !replication.IsReply(m) {
 		if address := d.peers.addressOf[to]; address != "" {
 			d.links.sendIfUp(address, protocol.KindReplication, body)
 		}
@@ -122,21 +122,12 @@
 		conn.Close()
 		return
 	}
-	if isReplicationRequest(m) {
+	if !replication.IsReply(m) {
 		d.replyTo[f.From] = conn
 	}
 	d.replica.Receive(f.From, m)
 }
 
-// isReplicationRequest tells whether a message goes from a primary to another member.
-func isReplicationRequest(m replication.Message) bool {
-	switch m.(type) {
-	case *replication.Join, *replication.RangeQuery, *replication.Append:
-		return true
-	}
-	return false
-}
-
 // replicaEvents hands the events of the replica to the daemon. They come from within calls of the replica, so what calls it again is posted.
 type replicaEvents struct{ daemon *daemon }
 
--- a/internal/roles/control/placement.go
+++ b/internal/roles/control/placement.go
@@ -154,7 +154,8 @@
 func (p *primary) putPartition(number int, v placement.View) {
 	delete(p.placement.offers, number)
 	p.put(partitionRecord(protocol.PartitionView{
-		Partition: uint32(number), Epoch: v.Epoch, Primary: v.Primary, Members: v.Members, Learners: v.Learners,
+		Partition: uint32(number), Epoch: v.Epoch, Primary: v.Primary,
+		Members: v.Members, Learners: v.Learners, Sources: v.Sources, Holders: v.Holders,
 	}))
 	p.items.mark(protocol.ItemPartitions, true)
 }
@@ -168,6 +169,10 @@
 	input.NoBalance = !p.placement.balance
 	changes := placement.Plan(input)
 	for _, change := range changes {
+		if len(change.View.Sources) > 0 && len(input.Partitions[change.Partition].Sources) == 0 {
+			p.daemon.logger.Warn("control: the disks of all members of a partition are lost; it is put together from what others hold",
+				zap.Int("partition", change.Partition), zap.Any("view", change.View))
+		}
 		p.putPartition(change.Partition, change.View)
 	}
 	// What these changes make possible is planned once they are durable.
@@ -184,7 +189,10 @@
 		Partitions:    make([]placement.View, len(p.model.partitions)),
 	}
 	for n, v := range p.model.partitions {
-		input.Partitions[n] = placement.View{Epoch: v.Epoch, Primary: v.Primary, Members: v.Members, Learners: v.Learners}
+		input.Partitions[n] = placement.View{
+			Epoch: v.Epoch, Primary: v.Primary,
+			Members: v.Members, Learners: v.Learners, Sources: v.Sources, Holders: v.Holders,
+		}
 	}
 	return input
 }
--- a/internal/roles/store/peer.go
+++ b/internal/roles/store/peer.go
@@ -169,8 +169,7 @@
 func (p *partition) send(to string, m replication.Message) {
 	one := p.store.peer(to)
 	conn := one.conn
-	switch m.(type) {
-	case *replication.JoinReply, *replication.RangeReply, *replication.AppendAck:
+	if replication.IsReply(m) {
 		conn = one.arrived
 	}
 	if conn == nil {
@@ -191,8 +190,7 @@
 		c.Close()
 		return
 	}
-	switch message.(type) {
-	case *replication.Join, *replication.RangeQuery, *replication.Append:
+	if !replication.IsReply(message) {
 		s.peer(frame.From).arrived = c
 	}
 	number := frame.Group - groupBase
--- a/internal/roles/store/table.go
+++ b/internal/roles/store/table.go
@@ -39,7 +39,7 @@
 // takeView installs the view of one partition if it is newer than what is known.
 func (s *store) takeView(v *protocol.PartitionView, version protocol.ItemVersion) {
 	p := s.partitions[v.Partition]
-	included := slices.Contains(v.Members, s.member) || slices.Contains(v.Learners, s.member)
+	included := v.Names(s.member)
 	if p == nil {
 		if !included {
 			return
@@ -56,7 +56,9 @@
 		s.fenceEarlierPrimary(p, v, version)
 		p.view, p.table = *v, version
 		p.offers, p.blockedSince = nil, 0
-		p.replica.Install(replication.View{Epoch: v.Epoch, Primary: v.Primary, Members: v.Members, Learners: v.Learners})
+		p.replica.Install(replication.View{
+			Epoch: v.Epoch, Primary: v.Primary, Members: v.Members, Learners: v.Learners, Sources: v.Sources,
+		})
 		if p.leading && v.Primary == s.member {
 			p.lead(s.now())
 		}
@@ -123,7 +125,7 @@
 // retryDrops drops what could not be dropped before.
 func (s *store) retryDrops() {
 	for _, p := range s.partitions {
-		if p.view.Epoch > 0 && p.replica.View().Epoch == p.view.Epoch && !p.replica.View().Includes(s.member) {
+		if p.view.Epoch > 0 && p.replica.View().Epoch == p.view.Epoch && !p.view.Names(s.member) {
 			s.dropPartition(p)
 		}
 	}
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -247,4 +247,68 @@
 		New:     "",
 		Package: "./internal/roles/control",
 	},
+	{
+		Promise: "a process that was left out of a view is told of it", File: "replication/tenure.go",
+		Old:     "\t\tt.dismiss(c.base.Peers)\n",
+		New:     "\t\tt.dismiss(nil)\n",
+		Package: "./replication",
+	},
+	{
+		Promise: "a process that is about to end becomes no witness", File: "replication/proposal.go",
+		Old:     "introducedFor && !e.tenure.leaving[id]",
+		New:     "introducedFor",
+		Package: "./replication",
+	},
+	{
+		Promise: "a primary takes what its sources hold", File: "replication/absorb.go",
+		Old:     "\t\tif id != r.o.Self {\n",
+		New:     "\t\tif id == r.o.Self {\n",
+		Package: "./replication",
+	},
+	{
+		Promise: "a primary takes only newer versions from its sources", File: "replication/absorb.go",
+		Old:     "if !found || own.Version < record.Version {",
+		New:     "if !found || own.Version != record.Version {",
+		Package: "./replication",
+	},
+	{
+		Promise: "nothing is written before the sources are absorbed", File: "replication/write.go",
+		Old:     " || len(r.lead.sources) > 0 {",
+		New:     " {",
+		Package: "./replication",
+	},
+	{
+		Promise: "a primary is active once its sources are absorbed", File: "replication/leadership.go",
+		Old:     "if !l.joined || len(l.sources) > 0 {",
+		New:     "if !l.joined {",
+		Package: "./replication",
+	},
+	{
+		Promise: "sources are absorbed once", File: "replication/absorb.go",
+		Old:     "len(l.view.Sources) > 0 && len(l.sources) == 0 {",
+		New:     "len(l.view.Sources) > 0 && len(l.sources) < 0 {",
+		Package: "./replication",
+	},
+	{
+		Promise: "whoever may hold what was acknowledged stays listed without Copies members", File: "placement/merge.go",
+		Old:     "if len(members) >= s.in.Copies {",
+		New:     "if len(members) > 0 {",
+		Package: "./placement",
+	},
+	{
+		Promise: "a partition is put together only where the disks of all members are lost", File: "placement/merge.go",
+		Old:     "slices.Contains(v.members, i) || !s.stores[i].live():",
+		New:     "!s.stores[i].live() && !slices.Contains(v.members, i):",
+		Package: "./placement",
+	},
+	{
+		Promise: "a merge waits for all that may hold something", File: "placement/merge.go",
+		Old:     "case slices.Contains(v.members, i) || !s.stores[i].live():",
+		New:     "case slices.Contains(v.members, i):",
+		Package: "./placement",
+	},
+	{
+		Promise: "a store keeps its records while a view names it a holder", File: "internal/protocol/item.go",
+		Old: "slices.Contains(m.Learners, member) || slices.Contains(m.Holders, member)", New: "slices.Contains(m.Learners, member)",
+	},
 }
--- a/placement/blocked_test.go
+++ b/placement/blocked_test.go
@@ -23,6 +23,7 @@
 	is.Equal(v.Members, []string{a})
 	is.Equal(len(v.Learners), 1)
 	is.True(v.Learners[0] == c || v.Learners[0] == d)
+	is.Equal(v.Holders, []string{b}) // it has everything that was acknowledged, and is not to drop it yet
 
 	is.Equal(Plan(blocked(one(v, fourZones(), 2), [2]string{a, b})), nil) // no change of mind while it lasts
 	is.Equal(Plan(one(v, fourZones(), 2)), nil)                           // nor when it is over
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -38,6 +38,7 @@
 	changes    int
 	handovers  int
 	attached   int
+	merges     int
 }
 
 func newModel(t *rapid.T, maxZones, maxPerZone int) *model {
@@ -132,6 +133,18 @@
 	if len(v.Members) > m.copies {
 		fail("too many members")
 	}
+	if len(v.Members) < m.copies {
+		for _, name := range slices.Concat(old.Members, old.Learners, old.Holders) {
+			if !contains(v.Members, name) && !contains(v.Learners, name) && !contains(v.Holders, name) {
+				fail("holder " + name + " is forgotten")
+			}
+		}
+	}
+	knowsAll := func(name string) bool { return contains(old.Members, name) || contains(p.offered, name) }
+	if !slices.ContainsFunc(v.Members, knowsAll) {
+		m.checkMerge(c, fail)
+		return
+	}
 	for _, name := range v.Members {
 		if !contains(old.Members, name) && !(contains(p.offered, name) && contains(old.Learners, name)) {
 			fail("member " + name + " was neither member nor offered")
@@ -142,7 +155,7 @@
 		if !m.live(name) {
 			fail("member is gone though the view could change")
 		}
-		if missing := p.acknowledged &^ m.stores[name].records[c.Partition]; missing != 0 {
+		if missing := p.acknowledged &^ m.held(c.Partition, name, v.Sources); missing != 0 {
 			fail("member " + name + " lacks acknowledged records")
 		}
 	}
@@ -157,6 +170,34 @@
 	}
 }
 
+// held returns the records that a store and the sources have together.
+func (m *model) held(partition int, name string, sources []string) uint64 {
+	records := m.stores[name].records[partition]
+	for _, source := range sources {
+		records |= m.stores[source].records[partition]
+	}
+	return records
+}
+
+// checkMerge checks a view that is to put together what learners and holders have.
+func (m *model) checkMerge(c Change, fail func(string)) {
+	old, v := m.partitions[c.Partition].view, c.View
+	for _, name := range old.Members {
+		if !m.superseded(name) {
+			fail("merged though the disk of " + name + " is there")
+		}
+	}
+	for _, name := range v.Sources {
+		if !contains(v.Learners, name) || !m.live(name) {
+			fail("source " + name + " is no live learner")
+		}
+	}
+	if missing := m.partitions[c.Partition].acknowledged &^ m.held(c.Partition, v.Primary, v.Sources); missing != 0 {
+		fail("the sources lack acknowledged records")
+	}
+	m.merges++
+}
+
 // serve lets the primary of a partition do its part: equalise, take a write, offer learners.
 func (m *model) serve(t *rapid.T, n int, offer bool) {
 	p := &m.partitions[n]
@@ -169,6 +210,10 @@
 		if slices.ContainsFunc(v.Members, func(name string) bool { return !m.live(name) }) {
 			return
 		}
+		if slices.ContainsFunc(v.Sources, func(name string) bool { return !m.live(name) }) {
+			return
+		}
+		primary.records[n] = m.held(n, v.Primary, v.Sources)
 		if lost := p.acknowledged &^ primary.records[n]; lost != 0 {
 			t.Fatalf("partition %d: primary %s lacks acknowledged records %b", n, v.Primary, lost)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,12 @@
 	Primary  string
 	Members  []string
 	Learners []string
+	// Sources are the learners that hold, together with the primary, what was acknowledged, where no single store holds all of it. The
+	// primary takes from them what it lacks before it is active.
+	Sources []string
+	// Holders take no part, and keep what they have: without Copies members, some of what was acknowledged may be on their disks alone when
+	// those of the members are lost.
+	Holders []string
 }
 
 // Change replaces the view of one partition. Its epoch is the next after the one it was planned on: a change is only to be
@@ -78,6 +84,9 @@
 //   - While fewer than Copies live disks take part, learners are attached, all at once.
 //   - A dropped member stays listed as a learner until there are Copies members again. Nobody waits for a learner that is
 //     gone; when it returns with its disk, the primary makes it equal without another view.
+//   - While there are fewer than Copies members, all members and learners of before stay listed, as learners or holders: each write
+//     that was acknowledged is on the disks of Copies of them. When the disks of all members are lost, and no more than Copies-1 of
+//     those listed, one of the others becomes primary with the rest as sources, once all of these are live.
 //   - Stores that leave or retire give up being primary at once where another member is live. The copies of a retiring one
 //     are replaced, a few at a time.
 //   - When nothing is missing, primaries and then copies are moved for balance, a few at a time; with SharedZones, primaries go
@@ -102,7 +111,7 @@
 // Succeeded reports whether no partition names the member any more, so that its machine may be taken away.
 func Succeeded(partitions []View, member string) bool {
 	for _, v := range partitions {
-		if v.Primary == member || contains(v.Members, member) || contains(v.Learners, member) {
+		if v.Primary == member || contains(v.Members, member) || contains(v.Learners, member) || contains(v.Holders, member) {
 			return false
 		}
 	}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -44,7 +44,7 @@
 	v := View{Epoch: 7, Primary: a, Members: []string{a, b}}
 
 	changes := Plan(one(v, stores, 2))
-	is.Equal(changes, []Change{{0, View{8, b, []string{a, b}, nil}}}) // it leaves: another member leads, it stays member
+	is.Equal(changes, []Change{{0, View{Epoch: 8, Primary: b, Members: []string{a, b}}}}) // it leaves: another member leads, it stays member
 	v = changes[0].View
 	is.Equal(Plan(one(v, stores, 2)), nil)
 
@@ -60,7 +60,7 @@
 
 	is.Equal(Plan(one(v, gone(stores, a, 0), 2)), nil) // it is back: nothing is to be decided yet
 	changes = Plan(one(v, stores, 2, a))
-	is.Equal(changes, []Change{{0, View{10, b, []string{b, a}, nil}}}) // equal: the stand-in goes
+	is.Equal(changes, []Change{{0, View{Epoch: 10, Primary: b, Members: []string{b, a}}}}) // equal: the stand-in goes
 	is.Equal(Plan(one(changes[0].View, stores, 2)), nil)
 }
 
@@ -68,7 +68,7 @@
 	is := is.New(t)
 	v := View{Epoch: 9, Primary: b, Members: []string{b}, Learners: []string{a, c}}
 	changes := Plan(one(v, gone(fourZones(), a, time.Second), 2, c))
-	is.Equal(changes, []Change{{0, View{10, b, []string{b, c}, nil}}})
+	is.Equal(changes, []Change{{0, View{Epoch: 10, Primary: b, Members: []string{b, c}}}})
 }
 
 func TestOfferedLearnerThatIsGoneEndsTheView(t *testing.T) {
@@ -129,6 +129,37 @@
 	is.True(changes[0].View.Learners[0] != b)
 }
 
+// One store of two lost its power, the other one its disk before a third was equal: what was acknowledged is on the first and the third.
+func TestDisksOfAllMembersAreLost(t *testing.T) {
+	is := is.New(t)
+	v := View{Epoch: 4, Primary: b, Members: []string{b}, Learners: []string{a, c}}
+	replaced := Store{Member: "storage-b/2", Zone: "b", Region: "r"}
+	stores := append(gone(fourZones(), b, time.Second), replaced)
+	is.Equal(Plan(one(v, gone(stores, a, 1), 2)), nil) // a has what c may lack
+	changes := Plan(one(v, gone(stores, a, 0), 2))
+	is.Equal(len(changes), 1)
+	v = changes[0].View
+	is.Equal(len(v.Members), 1)
+	is.Equal(len(v.Sources), 1)
+	is.True(contains(v.Sources, a) != contains(v.Members, a)) // one takes from the other
+	is.True(contains(v.Sources, c) != contains(v.Members, c))
+	is.Equal(v.Holders, []string{b})
+	is.Equal(Plan(one(v, stores, 2)), nil)
+
+	changes = Plan(one(v, stores, 2, v.Sources...))
+	is.Equal(len(changes), 1)
+	is.Equal(len(changes[0].View.Members), 2)
+	is.Equal(len(changes[0].View.Sources)+len(changes[0].View.Holders), 0)
+}
+
+func TestMoreDisksAreLostThanCopiesAllowFor(t *testing.T) {
+	is := is.New(t)
+	v := View{Epoch: 4, Primary: b, Members: []string{b}, Learners: []string{c}, Holders: []string{a}}
+	stores := append(gone(gone(fourZones(), b, time.Second), a, time.Second),
+		Store{Member: "storage-b/2", Zone: "b", Region: "r"}, Store{Member: "storage-a/2", Zone: "a", Region: "r"})
+	is.Equal(Plan(one(v, stores, 2)), nil) // an old disk may be put back
+}
+
 func TestRetire(t *testing.T) {
 	is := is.New(t)
 	stores := fourZones()
@@ -172,7 +203,7 @@
 	is := is.New(t)
 	v := View{Epoch: 5, Primary: a, Members: []string{a, b}}
 	changes := Plan(one(v, gone(fourZones()[:2], a, time.Second), 2))
-	is.Equal(changes, []Change{{0, View{6, b, []string{b}, []string{a}}}})
+	is.Equal(changes, []Change{{0, View{Epoch: 6, Primary: b, Members: []string{b}, Learners: []string{a}}}})
 	is.Equal(Found(fourZones()[:1], 16, 2), nil)
 }
 
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -58,6 +58,7 @@
 // TestPlanIsSafeAndConverges lets stores crash, return, change their disks, leave, retire and be added, and checks each
 // change as it is made. Then all that can return does, and the plan is to reach a fixed point where nothing is missing.
 func TestPlanIsSafeAndConverges(t *testing.T) {
+	merges := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t, 4, 3)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -72,7 +73,9 @@
 		m.pass(SettleTime)
 		m.settle(t)
 		m.checkFixedPoint(t)
+		merges += m.merges
 	})
+	t.Logf("%d merges", merges)
 }
 
 func (m *model) checkFixedPoint(t *rapid.T) {
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -3,19 +3,24 @@
 import "slices"
 
 // repair brings one partition nearer to Copies members that may stay, and gives it a primary that may stay. A partition of
-// which no copy that holds all records is live is left as it is.
+// which no copy that holds all records is live is left as it is, or put together from what is left.
 func (s *state) repair(p int) {
 	v := s.views[p]
 	live := (*store).live
 	holders := append(s.filter(v.members, live), s.filter(s.offered[p], live)...)
 	if len(holders) == 0 {
+		s.merge(p)
 		return
 	}
 	s.unexpect(p)
 	members := s.trim(p, s.connected(p, holders))
 	learners := s.keptLearners(p, members)
-	learners = s.attach(p, members, learners)
-	next := view{primary: s.choosePrimary(p, members), members: members, learners: learners, changed: true}
+	sources := s.sourcesLeft(p)
+	learners = union(s.attach(p, members, learners), sources)
+	next := view{
+		primary: s.choosePrimary(p, members), members: members, learners: learners,
+		sources: sources, holders: s.holders(p, members, learners), changed: true,
+	}
 	if s.worthwhile(p, next) {
 		s.replace(p, next)
 	}
@@ -211,7 +216,7 @@
 // that nobody waits for, in a partition that will need another view anyway.
 func (s *state) worthwhile(p int, next view) bool {
 	v := &s.views[p]
-	if next.primary != v.primary || !sameSet(next.members, v.members) {
+	if next.primary != v.primary || !sameSet(next.members, v.members) || len(s.offered[p]) == 0 && !sameSet(next.sources, v.sources) {
 		return true
 	}
 	if sameSet(next.learners, v.learners) {
--- a/placement/state.go
+++ b/placement/state.go
@@ -30,6 +30,9 @@
 // eligible reports whether the store may be given something new.
 func (s *store) eligible() bool { return s.lasting() && !s.Leaving }
 
+// lost reports whether the disk is known to be lost: the node is live with another one.
+func (s *store) lost() bool { return s.superseded }
+
 // mayReturn reports whether a store that is gone is worth waiting for as a learner.
 func (s *store) mayReturn() bool { return s.known && !s.Retiring && !s.superseded }
 
@@ -37,6 +40,7 @@
 type view struct {
 	primary           int
 	members, learners []int
+	sources, holders  []int
 	changed           bool
 }
 
@@ -115,7 +119,7 @@
 	s.views = make([]view, len(s.in.Partitions))
 	s.offered = make([][]int, len(s.in.Partitions))
 	for p, v := range s.in.Partitions {
-		s.views[p] = view{primary: none, members: s.indices(v.Members), learners: s.indices(v.Learners)}
+		s.views[p] = view{primary: none, members: s.indices(v.Members), learners: s.indices(v.Learners), sources: s.indices(v.Sources), holders: s.indices(v.Holders)}
 		if v.Primary != "" {
 			s.views[p].primary = s.indices([]string{v.Primary})[0]
 		}
@@ -194,7 +198,10 @@
 
 func (s *state) export(p int, epoch uint64) View {
 	v := &s.views[p]
-	return View{Epoch: epoch, Primary: s.stores[v.primary].Member, Members: s.names(v.members), Learners: s.names(v.learners)}
+	return View{
+		Epoch: epoch, Primary: s.stores[v.primary].Member,
+		Members: s.names(v.members), Learners: s.names(v.learners), Sources: s.names(v.sources), Holders: s.names(v.holders),
+	}
 }
 
 func (s *state) names(list []int) []string {
--- a/replication/codec.go
+++ b/replication/codec.go
@@ -114,7 +114,8 @@
 	b = binary.AppendUvarint(b, v.Epoch)
 	b = appendString(b, v.Primary)
 	b = appendStrings(b, v.Members)
-	return appendStrings(b, v.Learners)
+	b = appendStrings(b, v.Learners)
+	return appendStrings(b, v.Sources)
 }
 
 func (v *View) read(r *reader) {
@@ -122,4 +123,5 @@
 	v.Primary = r.string()
 	v.Members = r.strings()
 	v.Learners = r.strings()
+	v.Sources = r.strings()
 }
--- a/replication/codec_test.go
+++ b/replication/codec_test.go
@@ -22,7 +22,7 @@
 func drawView(t *rapid.T) View {
 	return View{
 		Epoch: rapid.Uint64().Draw(t, "epoch"), Primary: rapid.String().Draw(t, "primary"),
-		Members: drawStrings(t, "members"), Learners: drawStrings(t, "learners"),
+		Members: drawStrings(t, "members"), Learners: drawStrings(t, "learners"), Sources: drawStrings(t, "sources"),
 	}
 }
 
@@ -58,10 +58,21 @@
 	return list
 }
 
+func drawRecords(t *rapid.T) []Record {
+	var records []Record
+	for _, key := range drawStrings(t, "keys") {
+		records = append(records, Record{
+			Key: key, Version: rapid.Uint64().Draw(t, "version"), Deleted: rapid.Bool().Draw(t, "deleted"),
+			Value: append([]byte{}, rapid.String().Draw(t, "value")...),
+		})
+	}
+	return records
+}
+
 func drawMessage(t *rapid.T) Message {
 	n := rapid.Uint64()
 	epoch, stream := n.Draw(t, "epoch"), n.Draw(t, "stream")
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
 	case 0:
 		return &Join{Epoch: epoch, Stream: stream, View: drawView(t)}
 	case 1:
@@ -82,14 +93,11 @@
 		}
 		return m
 	case 4:
-		m := &Append{Epoch: epoch, Stream: stream, Seq: n.Draw(t, "seq")}
-		for _, key := range drawStrings(t, "keys") {
-			m.Records = append(m.Records, Record{
-				Key: key, Version: n.Draw(t, "version"), Deleted: rapid.Bool().Draw(t, "deleted"),
-				Value: append([]byte{}, rapid.String().Draw(t, "value")...),
-			})
-		}
-		return m
+		return &Append{Epoch: epoch, Stream: stream, Seq: n.Draw(t, "seq"), Records: drawRecords(t)}
+	case 5:
+		return &RecordQuery{Epoch: epoch, Stream: stream, Keys: drawStrings(t, "keys")}
+	case 6:
+		return &RecordReply{Epoch: epoch, Stream: stream, Covered: n.Draw(t, "covered"), Records: drawRecords(t)}
 	}
 	return &AppendAck{Epoch: epoch, Stream: stream, Seq: n.Draw(t, "seq"), Joined: n.Draw(t, "joined"), Failed: rapid.Bool().Draw(t, "failed")}
 }
--- a/replication/leadership.go
+++ b/replication/leadership.go
@@ -12,7 +12,8 @@
 	peers      map[MemberID]*outbound
 	order      []MemberID // of peers
 	offered    map[MemberID]bool
-	streams    uint64 // the last number of a stream
+	sources    map[MemberID]bool // not absorbed yet
+	streams    uint64            // the last number of a stream
 }
 
 // mustHave tells whether no write is done without this peer: members, and learners that may become members without asking again.
@@ -20,9 +21,9 @@
 	return l.view.IsMember(id) || l.offered[id] || l.resumed
 }
 
-// membersEqual tells whether all members have joined and are equal.
+// membersEqual tells whether this primary holds everything, and all members have joined and are equal.
 func (l *leadership) membersEqual() bool {
-	if !l.joined {
+	if !l.joined || len(l.sources) > 0 {
 		return false
 	}
 	for _, id := range l.order {
@@ -41,6 +42,7 @@
 		resumed: v.Epoch == r.loaded.Epoch && r.loaded.View.Primary == r.o.Self,
 		peers:   make(map[MemberID]*outbound),
 		offered: make(map[MemberID]bool),
+		sources: r.toAbsorb(v),
 		order:   sortedPeers(v, r.o.Self),
 	}
 	for _, id := range l.order {
--- a/replication/message.go
+++ b/replication/message.go
@@ -11,6 +11,15 @@
 	Append(b []byte) []byte
 }
 
+// IsReply tells whether a message answers a primary: it goes back on the connection that the primary opened.
+func IsReply(m Message) bool {
+	switch m.(type) {
+	case *JoinReply, *RangeReply, *RecordReply, *AppendAck:
+		return true
+	}
+	return false
+}
+
 // Join begins a stream: the primary of the view asks another to refuse what is of a lower epoch from now on.
 type Join struct {
 	Epoch  uint64
@@ -56,6 +65,21 @@
 	Items []reconcile.Item
 }
 
+// RecordQuery asks a source for the records of some keys, as they are at this point of the stream.
+type RecordQuery struct {
+	Epoch  uint64
+	Stream uint64
+	Keys   []string
+}
+
+// RecordReply answers a RecordQuery with what there is of the first Covered keys.
+type RecordReply struct {
+	Epoch   uint64
+	Stream  uint64
+	Covered uint64
+	Records []Record
+}
+
 // Append is the next batch of a stream: a write, or a part of a repair.
 type Append struct {
 	Epoch   uint64
--- a/replication/messagecodec.go
+++ b/replication/messagecodec.go
@@ -14,6 +14,8 @@
 	codeRangeReply
 	codeAppend
 	codeAppendAck
+	codeRecordQuery
+	codeRecordReply
 )
 
 // DecodeMessage decodes one message. Values of records alias b.
@@ -38,6 +40,10 @@
 		m = &Append{}
 	case codeAppendAck:
 		m = &AppendAck{}
+	case codeRecordQuery:
+		m = &RecordQuery{}
+	case codeRecordReply:
+		m = &RecordReply{}
 	default:
 		return nil, ErrMalformed
 	}
@@ -123,25 +129,29 @@
 func (m *Append) Append(b []byte) []byte {
 	b = appendHead(b, codeAppend, m.Epoch, m.Stream)
 	b = binary.AppendUvarint(b, m.Seq)
-	b = binary.AppendUvarint(b, uint64(len(m.Records)))
-	for _, record := range m.Records {
-		b = appendString(b, record.Key)
-		b = binary.AppendUvarint(b, record.Version)
-		b = appendBool(b, record.Deleted)
-		b = appendBytes(b, record.Value)
-	}
-	return b
+	return appendRecords(b, m.Records)
 }
 
 func (m *Append) read(r *reader) {
-	m.Epoch, m.Stream, m.Seq = r.uint(), r.uint(), r.uint()
-	n := r.count()
-	if n > 0 {
-		m.Records = make([]Record, 0, n)
-	}
-	for range n {
-		m.Records = append(m.Records, Record{Key: r.string(), Version: r.uint(), Deleted: r.bool(), Value: r.bytes()})
-	}
+	m.Epoch, m.Stream, m.Seq, m.Records = r.uint(), r.uint(), r.uint(), readRecords(r)
+}
+
+// Append implements Message.
+func (m *RecordQuery) Append(b []byte) []byte {
+	return appendStrings(appendHead(b, codeRecordQuery, m.Epoch, m.Stream), m.Keys)
+}
+
+func (m *RecordQuery) read(r *reader) { m.Epoch, m.Stream, m.Keys = r.uint(), r.uint(), r.strings() }
+
+// Append implements Message.
+func (m *RecordReply) Append(b []byte) []byte {
+	b = appendHead(b, codeRecordReply, m.Epoch, m.Stream)
+	b = binary.AppendUvarint(b, m.Covered)
+	return appendRecords(b, m.Records)
+}
+
+func (m *RecordReply) read(r *reader) {
+	m.Epoch, m.Stream, m.Covered, m.Records = r.uint(), r.uint(), r.uint(), readRecords(r)
 }
 
 // Append implements Message.
@@ -156,6 +166,29 @@
 	m.Epoch, m.Stream, m.Seq, m.Joined, m.Failed = r.uint(), r.uint(), r.uint(), r.uint(), r.bool()
 }
 
+func appendRecords(b []byte, records []Record) []byte {
+	b = binary.AppendUvarint(b, uint64(len(records)))
+	for _, record := range records {
+		b = appendString(b, record.Key)
+		b = binary.AppendUvarint(b, record.Version)
+		b = appendBool(b, record.Deleted)
+		b = appendBytes(b, record.Value)
+	}
+	return b
+}
+
+func readRecords(r *reader) []Record {
+	n := r.count()
+	if n == 0 {
+		return nil
+	}
+	records := make([]Record, 0, n)
+	for range n {
+		records = append(records, Record{Key: r.string(), Version: r.uint(), Deleted: r.bool(), Value: r.bytes()})
+	}
+	return records
+}
+
 func appendRange(b []byte, r reconcile.Range) []byte {
 	return append(binary.BigEndian.AppendUint64(b, r.Prefix), r.Bits)
 }
--- a/replication/outbound.go
+++ b/replication/outbound.go
@@ -17,6 +17,7 @@
 	peerRepairing                  // differences are being sent
 	peerEqual                      // it holds everything that was written up to what it has acknowledged
 	peerFailed                     // to be begun anew
+	peerAbsorbing                  // a source has joined, and what it holds is being taken over
 )
 
 const (
@@ -55,6 +56,7 @@
 	changed    []string // keys to be sent
 	extra      []string // keys to be deleted
 	repairing  int      // bytes of the repair under way
+	wanted     []string // keys to be asked for, of a source
 	equalAt    uint64   // the sequence number whose ack makes it equal
 
 	heard     bool // since the last Tick
@@ -103,8 +105,11 @@
 	return now-p.idleSince >= stalledAfter
 }
 
-// begin asks a linked peer to join and starts a new stream to it.
+// begin asks a linked peer to join and starts a new stream to it. Before everything is absorbed, only sources are asked.
 func (r *Replica) begin(p *outbound) {
+	if len(r.lead.sources) > 0 && !r.lead.sources[p.id] {
+		return
+	}
 	r.lead.streams++
 	p.state = peerJoining
 	p.stream = r.lead.streams
@@ -170,6 +175,10 @@
 	}
 	found := p.comparison.Found()
 	p.comparison = nil
+	if r.lead.sources[p.id] {
+		r.absorb(p, found)
+		return
+	}
 	p.changed, p.extra = sortedKeys(found.Changed), sortedKeys(found.Extra)
 	slices.Reverse(p.extra)
 	p.state = peerRepairing
--- a/replication/replica.go
+++ b/replication/replica.go
@@ -132,6 +132,10 @@
 		r.receiveReply(from, m)
 	case *AppendAck:
 		r.receiveAck(from, m)
+	case *RecordQuery:
+		r.receiveRecordQuery(from, m)
+	case *RecordReply:
+		r.receiveRecordReply(from, m)
 	}
 }
 
--- a/replication/replica_model_test.go
+++ b/replication/replica_model_test.go
@@ -89,6 +89,8 @@
 	contents map[string]string // by key and version
 	leaders  map[uint64]MemberID
 	counter  int
+	merges   bool // the disks of all members may be lost
+	merged   int
 	answered int
 }
 
@@ -203,6 +205,9 @@
 // notOlder tells whether a version found of a key is the acknowledged one or a later one. Zero is no record: then some deletion not older
 // than the acknowledged write must have been issued.
 func (m *replicaModel) notOlder(key string, found, acked uint64) bool {
+	if w := m.writes[acked]; m.merged > 0 && w != nil && w.records[0].Deleted {
+		return true // a merge may bring back what was deleted
+	}
 	if found != 0 {
 		return found >= acked
 	}
@@ -218,7 +223,7 @@
 	v := m.view()
 	for _, id := range v.Members {
 		n := m.nodes[id]
-		if n.wiped {
+		if n.wiped || len(v.Sources) > 0 { // what a merge is to find is checked when its primary is active
 			continue
 		}
 		disk := n.storage.durable[modelGroup]
@@ -228,6 +233,9 @@
 			}
 		}
 		for key, record := range disk {
+			if m.merged > 0 {
+				break // of a write that was not acknowledged, half may be left
+			}
 			if twin := disk[twinOf(key)]; twin.Version != record.Version {
 				m.t.Fatalf("whole: %s has %s at %x and %s at %x", id, key, record.Version, twinOf(key), twin.Version)
 			}
--- a/replication/replica_steps_test.go
+++ b/replication/replica_steps_test.go
@@ -26,6 +26,7 @@
 		}
 	}
 	if len(primaries) == 0 {
+		m.decideMerge(choose)
 		return
 	}
 	v := View{Epoch: old.Epoch + 1, Primary: primaries[choose(len(primaries))]}
@@ -40,13 +41,69 @@
 			v.Learners = append(v.Learners, id)
 		}
 	}
+	if m.merges && len(v.Members) < m.copies {
+		m.keepHolders(old, &v)
+	}
+	m.table = append(m.table, v)
+	m.offers = map[MemberID]bool{}
+}
+
+// keepHolders lists as learners all that may hold what was acknowledged, also disks that are lost, and goes on with a merge under way.
+func (m *replicaModel) keepHolders(old View, v *View) {
+	for _, id := range slices.Concat(old.Members, old.Learners) {
+		if !v.Includes(id) {
+			v.Learners = append(v.Learners, id)
+		}
+	}
+	if len(m.offers) > 0 {
+		return // the primary was active
+	}
+	for _, id := range old.Sources {
+		if !m.nodes[id].wiped {
+			v.Sources = append(v.Sources, id)
+		}
+	}
+}
+
+// decideMerge makes the next view when all members' disks are lost: one of the learners is to put together what they hold.
+func (m *replicaModel) decideMerge(choose func(n int) int) {
+	old := m.view()
+	var survivors []MemberID
+	for _, id := range old.Learners {
+		if !m.nodes[id].wiped {
+			survivors = append(survivors, id)
+		}
+	}
+	all := slices.Concat(old.Members, old.Learners)
+	membersLeft := slices.ContainsFunc(old.Members, func(id MemberID) bool { return !m.nodes[id].wiped })
+	if !m.merges || membersLeft || len(survivors) == 0 || len(all)-len(survivors) >= m.copies {
+		return
+	}
+	v := View{Epoch: old.Epoch + 1, Primary: survivors[choose(len(survivors))]}
+	v.Members = []MemberID{v.Primary}
+	v.Sources = slices.DeleteFunc(survivors, func(id MemberID) bool { return id == v.Primary })
+	v.Learners = slices.DeleteFunc(all, func(id MemberID) bool { return id == v.Primary })
 	m.table = append(m.table, v)
 	m.offers = map[MemberID]bool{}
+	m.merged++
 }
 
-// mayWipe tells whether another member of the newest view would be left with its disk.
+// mayWipe tells whether another member of the newest view would be left with its disk, or, with merges, a disk of everything acknowledged.
 func (m *replicaModel) mayWipe(id MemberID) bool {
-	return slices.ContainsFunc(m.view().Members, func(other MemberID) bool { return other != id && !m.nodes[other].wiped })
+	v := m.view()
+	if slices.ContainsFunc(v.Members, func(other MemberID) bool { return other != id && !m.nodes[other].wiped }) && len(v.Sources) == 0 {
+		return true
+	}
+	if !m.merges {
+		return false
+	}
+	lost := 0
+	for _, other := range slices.Concat(v.Members, v.Learners) {
+		if other == id || m.nodes[other].wiped {
+			lost++
+		}
+	}
+	return lost < m.copies
 }
 
 func (m *replicaModel) wipe(id MemberID) {
@@ -82,6 +139,9 @@
 		n.learnView(choose(3) == 0)
 	case kind < 948:
 		m.decide(choose, func(MemberID) bool { return true })
+		if m.merges && choose(4) == 0 {
+			m.wipe(m.view().Primary)
+		}
 	case kind < 960:
 		if n.replica == nil && !n.wiped {
 			n.start()
@@ -254,6 +314,29 @@
 	t.Logf("%d writes acknowledged, %d times active", answered, actives)
 }
 
+// TestReplicaModelWithMerges loses the disks of all members of a view while its learners are not equal, as far as each acknowledged write
+// is left on a disk.
+func TestReplicaModelWithMerges(t *testing.T) {
+	t.Parallel()
+	merged, actives := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		copies := rapid.IntRange(2, 3).Draw(t, "copies")
+		m := newReplicaModel(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(copies, 5).Draw(t, "nodes"), copies, copies)
+		m.merges = true
+		m.joinAll()
+		m.drain()
+		for range rapid.IntRange(100, 1500).Draw(t, "steps") {
+			m.step()
+			m.check()
+		}
+		m.settle()
+		m.checkEnd()
+		merged += m.merged
+		actives += len(m.started)
+	})
+	t.Logf("%d merges, %d times active", merged, actives)
+}
+
 // describe tells the state of a primary and of its streams.
 func (m *replicaModel) describe(n *modelNode) string {
 	text := fmt.Sprintf("%d unsynced, suspects %v, up %v", len(n.storage.pending), n.replica.disk.suspects, m.up)
--- a/replication/write.go
+++ b/replication/write.go
@@ -44,10 +44,11 @@
 }
 
 // Write replicates the records as one batch. done(nil) is called when it is on the own disk, on those of all members and of all
-// joined learners, and on Copies disks at least. ErrNotPrimary comes at once and means that nothing was written; after any other
+// joined learners, and on Copies disks at least. ErrNotPrimary comes at once and means that nothing was written, also because there are
+// sources to absorb; after any other
 // error the fate is unknown. done is called on the owner's loop. Versions are drawn here and written into records.
 func (r *Replica) Write(records []Record, done func(error)) {
-	if r.lead == nil || r.disk.closed || !r.versions.ready() {
+	if r.lead == nil || r.disk.closed || !r.versions.ready() || len(r.lead.sources) > 0 {
 		done(ErrNotPrimary)
 		return
 	}
--- a/sim/system/controlfaults.go
+++ b/sim/system/controlfaults.go
@@ -111,12 +111,17 @@
 
 // replaceDisk takes a process's disk, starts it with an empty one, and returns when it counts as whole again.
 func (w *World) replaceDisk(p *Process) error {
+	failed := w.emptyDisk(p)
+	time.Sleep(seconds(bounds.CatchUpS))
+	return failed
+}
+
+// emptyDisk takes a process's disk and starts it with an empty one.
+func (w *World) emptyDisk(p *Process) error {
 	failed := p.LosePower()
 	p.Wipe()
 	time.Sleep(500 * time.Millisecond)
-	failed = errors.Join(failed, p.Start())
-	time.Sleep(seconds(bounds.CatchUpS))
-	return failed
+	return errors.Join(failed, p.Start())
 }
 
 // separate cuts all links between two groups of machines for a while.
--- a/sim/system/recovery.go
+++ b/sim/system/recovery.go
@@ -93,3 +93,11 @@
 	}
 	return r
 }
+
+// awaitShort waits until the active primary's table lacks copies.
+func (w *World) awaitShort(within time.Duration) {
+	host := w.Net.Host(operatorIP)
+	for limit := time.Now().Add(within); time.Now().Before(limit) && w.whole(host); {
+		time.Sleep(wholePoll / 2)
+	}
+}
