Have control go on without a member, or a primary, whose disk has stalled

Ruled out: leaving it to the repeated Join after 3 s, as nothing looked at Blocked while a view stood. Replica.Stalled tells, a second after nothing was confirmed, which members hold writes up, or that the own disk does; a pause of the own process does not count. The elector makes such members learners where UsefulCopies members are left without them (no verdict leaves fewer), and a primary whose own disk stalls asks another member to take over.

--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -247,6 +247,18 @@
 		New:     "",
 		Package: "./internal/roles/control",
 	},
+	{
+		Promise: "a member whose disk stalls is left out", File: "replication/tenure.go",
+		Old:     "\tfor _, id := range stalled {\n",
+		New:     "\tfor _, id := range stalled[:0] {\n",
+		Package: "./replication",
+	},
+	{
+		Promise: "a primary whose disk stalls hands over", File: "replication/tenure.go",
+		Old:     "if (e.leaveOutStalled() || e.resigned) &&",
+		New:     "if (e.leaveOutStalled() && e.resigned || e.resigned) &&",
+		Package: "./replication",
+	},
 	{
 		Promise: "a process that was left out of a view is told of it", File: "replication/tenure.go",
 		Old:     "\t\tt.dismiss(c.base.Peers)\n",
--- /dev/null
+++ b/replication/absorb_test.go
@@ -0,0 +1,89 @@
+package replication
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// newSplitGroup returns a group of three, n0 and n1 the members, whose second view is n0 alone: "old" is on n0 and n1, "new" on n0 and n2, and of "both"
+// n1 has the first version and n2 the second. Then the disk of n0 is lost.
+func newSplitGroup(t *testing.T) *replicaModel {
+	is := is.New(t)
+	m := newGroup(t, 3, 2, 2)
+	old, both := m.put("n0", "old"), m.put("n0", "both")
+	m.drain()
+	is.NoErr(*old)
+	is.NoErr(*both)
+	m.nodes["n1"].stop(0)
+	m.install(View{Epoch: 2, Primary: "n0", Members: []MemberID{"n0"}, Learners: []MemberID{"n2", "n1"}})
+	for _, key := range []string{"aold", "zold"} { // as if the repair had not come to it
+		delete(m.nodes["n2"].storage.index[modelGroup], key)
+		delete(m.nodes["n2"].storage.durable[modelGroup], key)
+	}
+	m.merges, m.merged = true, 1
+	both, fresh := m.put("n0", "both"), m.put("n0", "new")
+	m.drain()
+	is.NoErr(*both)
+	is.NoErr(*fresh)
+	m.nodes["n0"].stop(0)
+	m.nodes["n0"].wiped = true
+	m.nodes["n1"].start()
+	return m
+}
+
+func (m *replicaModel) durableVersion(id MemberID, key string) uint64 {
+	return m.nodes[id].storage.durable[modelGroup][key].Version
+}
+
+func TestPrimaryTakesTheNewestVersionsFromItsSources(t *testing.T) {
+	for primary, source := range map[MemberID]MemberID{"n1": "n2", "n2": "n1"} {
+		t.Run(primary, func(t *testing.T) {
+			is := is.New(t)
+			m := newSplitGroup(t)
+			newest := m.durableVersion("n2", "aboth")
+			is.True(newest > m.durableVersion("n1", "aboth"))
+			m.install(View{Epoch: 3, Primary: primary, Members: []MemberID{primary}, Learners: []MemberID{source}, Sources: []MemberID{source}})
+			is.True(m.nodes[primary].replica.IsActive())
+			for _, id := range []MemberID{primary, source} {
+				is.Equal(m.durableVersion(id, "aboth"), newest)
+				is.True(m.durableVersion(id, "aold") > 0)
+				is.True(m.durableVersion(id, "anew") > 0)
+			}
+		})
+	}
+}
+
+func TestNothingIsWrittenBeforeTheSourcesAreAbsorbed(t *testing.T) {
+	is := is.New(t)
+	m := newSplitGroup(t)
+	m.table = append(m.table, View{Epoch: 3, Primary: "n2", Members: []MemberID{"n2"}, Learners: []MemberID{"n1"}, Sources: []MemberID{"n1"}})
+	m.nodes["n2"].learnView(true)
+	m.drainAlone("n2")
+	is.True(!m.nodes["n2"].replica.IsActive())
+	is.Equal(*m.put("n2", "early"), ErrNotPrimary)
+}
+
+// TestSourcesAreAbsorbedOnce has a primary delete a record that its source still holds, and go on in a view that names the source again.
+func TestSourcesAreAbsorbedOnce(t *testing.T) {
+	is := is.New(t)
+	m := newSplitGroup(t)
+	v := View{Epoch: 3, Primary: "n2", Members: []MemberID{"n2"}, Learners: []MemberID{"n1"}, Sources: []MemberID{"n1"}}
+	m.install(v)
+	m.cut("n1", "n2")
+	m.nodes["n2"].replica.Write([]Record{{Key: "aold", Deleted: true}, {Key: "zold", Deleted: true}}, func(error) {})
+	m.drainAlone("n2")
+	is.True(m.durableVersion("n1", "aold") > 0)
+	v.Epoch = 4
+	m.install(v)
+	is.True(m.nodes["n2"].replica.IsActive())
+	is.Equal(m.durableVersion("n2", "aold"), uint64(0))
+	is.Equal(m.durableVersion("n1", "aold"), uint64(0))
+}
+
+// drainAlone runs what a node has to do by itself.
+func (m *replicaModel) drainAlone(id MemberID) {
+	n := m.nodes[id]
+	for n.runPosted() || n.storage.sync() {
+	}
+}
--- a/replication/cluster_fault_test.go
+++ b/replication/cluster_fault_test.go
@@ -38,7 +38,7 @@
 		p = c.primary()
 	}
 	back := c.between(50*time.Millisecond, 2*time.Second)
-	switch c.random.IntN(9) {
+	switch c.random.IntN(10) {
 	case 0:
 		p.stop(false)
 		c.after(back, p.start)
@@ -73,12 +73,21 @@
 			c.after(c.between(10*time.Millisecond, 500*time.Millisecond), q.start)
 		}
 		return "power everywhere"
+	case 8:
+		p.stall(back)
+		return fmt.Sprintf("stall the disk of %s for %v", p.machine, back)
 	}
 	p.do(func() { p.act(p.elector.Resign(c.now)) })
 	c.after(time.Second, func() { p.stop(false); c.after(100*time.Millisecond, p.start) })
 	return "resign " + p.machine
 }
 
+// stall has a disk finish nothing for a time.
+func (p *process) stall(d time.Duration) {
+	p.stalledTo = p.c.now + d
+	p.later(d, p.keepSyncing)
+}
+
 // isolate cuts the directions from and towards a machine, or opens them.
 func (c *cluster) isolate(p *process, from, towards bool) {
 	for _, other := range c.procs {
@@ -242,6 +251,46 @@
 	is.True(elected >= runs-late)
 }
 
+// TestStalledDiskIsDoneWithout stalls one disk for long, the primary's or a member's: the process votes and answers, but confirms no write.
+func TestStalledDiskIsDoneWithout(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(30) {
+		c := newRunningCluster(t, seed, 3+int(seed%2), 3)
+		p := c.primary()
+		if seed%4 < 2 {
+			another := func(q *process) bool { return q != p && p.elector.View().IsMember(q.member()) }
+			p = c.procs[slices.IndexFunc(c.procs, another)]
+		}
+		p.stall(8 * time.Second)
+		c.run(10 * time.Second)
+		is.Equal(c.failure, "")
+		is.True(c.longest < 2500*time.Millisecond)
+		is.Equal(c.checkCalm(), "") // and it is a member again
+	}
+}
+
+// TestPauseOfThePrimaryIsNoStall has the primary stand still: the members owe it nothing for that time.
+func TestPauseOfThePrimaryIsNoStall(t *testing.T) {
+	is := is.New(t)
+	r := &Replica{lead: &leadership{view: View{Epoch: 1, Primary: "a", Members: []MemberID{"a", "b"}}, order: []MemberID{"b"}}}
+	b := &outbound{id: "b", state: peerEqual, sent: 2, acked: 1}
+	r.lead.peers, r.lead.joined, r.linked = map[MemberID]*outbound{"b": b}, true, map[MemberID]bool{"b": true}
+	r.disk.appends.begin()
+	const paused = 1600 * time.Millisecond
+	r.Tick(100 * time.Millisecond)
+	r.Tick(paused)
+	is.Equal(len(r.Stalled()), 0)
+	now := paused
+	for ; now < paused+stallPatience; now += 50 * time.Millisecond {
+		r.Tick(now)
+	}
+	r.o.Self = "a"
+	is.Equal(r.Stalled(), []MemberID{"a"}) // its own disk, by now
+	r.disk.appends.finish(1)
+	r.Tick(now)
+	is.Equal(r.Stalled(), []MemberID{"b"})
+}
+
 // TestPlannedEndRightAfterAStart ends one of four processes when it has just introduced itself, also as a member that the same view leaves out
 // as a witness: it is left out once, learns of it, and is taken in again when it is back.
 func TestPlannedEndRightAfterAStart(t *testing.T) {
--- a/replication/cluster_test.go
+++ b/replication/cluster_test.go
@@ -61,6 +61,7 @@
 	life      int // what belongs to an earlier one is void
 	running   bool
 	pausedTo  time.Duration
+	stalledTo time.Duration // its disk finishes nothing before
 	elector   *Elector
 	replica   *Replica
 	posted    []func()
@@ -178,7 +179,7 @@
 		p.c.fail("NewReplica: %v", err)
 	}
 	p.replica = replica
-	o.Blocked = replica.Blocked
+	o.Blocked, o.Stalled = replica.Blocked, replica.Stalled
 	p.elector = NewElector(o)
 	p.later(0, p.tick)
 	p.later(p.c.between(0, 10*time.Millisecond), p.write)
@@ -413,7 +414,7 @@
 
 // keepSyncing brings the disk's appends down one after another.
 func (p *process) keepSyncing() {
-	if p.syncing || !p.running || len(p.storage.pending) == 0 {
+	if p.syncing || !p.running || len(p.storage.pending) == 0 || p.c.now < p.stalledTo {
 		return
 	}
 	p.syncing = true
--- a/replication/outbound.go
+++ b/replication/outbound.go
@@ -61,6 +61,7 @@
 
 	heard     bool // since the last Tick
 	idleSince time.Duration
+	excused   time.Duration // of the time since, this process stood still
 	timed     bool
 }
 
@@ -94,9 +95,8 @@
 
 // overdue tells whether it is time to begin the stream anew, because it failed or because nothing came of it.
 func (p *outbound) overdue(now time.Duration) bool {
-	busy := p.state != peerEqual || p.sent > p.acked
-	if !p.timed || p.heard || !busy {
-		p.timed, p.heard, p.idleSince = true, false, now
+	if !p.timed || p.heard || !p.busy() {
+		p.timed, p.heard, p.idleSince, p.excused = true, false, now, 0
 		return p.state == peerApart
 	}
 	if p.state == peerFailed {
--- a/replication/replica.go
+++ b/replication/replica.go
@@ -40,6 +40,7 @@
 	view     View // the newest installed one
 	linked   map[MemberID]bool
 	limits   repairLimits
+	stall    stallWatch
 
 	lead     *leadership // of a primary or candidate
 	versions versions
@@ -160,9 +161,13 @@
 
 // Tick begins again what failed or hangs, such as a repair that met a full disk. Call it some times a second.
 func (r *Replica) Tick(now time.Duration) {
+	pause := r.stall.tick(&r.disk, now)
 	if r.disk.closed || r.lead == nil {
 		return
 	}
+	for _, p := range r.lead.peers {
+		p.excused += pause
+	}
 	if !r.lead.joined {
 		if r.lead.joinFailed {
 			r.joinSelf()
--- a/replication/tenure.go
+++ b/replication/tenure.go
@@ -148,18 +148,44 @@
 	if e.now-t.sentAt >= e.o.Interval {
 		e.beat()
 	}
-	if e.resigned && e.now-t.handedAt >= introduceEvery {
+	if (e.leaveOutStalled() || e.resigned) && e.now-t.handedAt >= introduceEvery {
 		e.handOver()
 	}
 }
 
+// leaveOutStalled has members that hold up all writes be learners, as long as enough others are left to write to. It tells whether this
+// primary's own disk is what holds them up.
+func (e *Elector) leaveOutStalled() (own bool) {
+	if e.o.Stalled == nil {
+		return false
+	}
+	stalled := e.o.Stalled()
+	v := &e.tenure.view
+	if slices.Contains(stalled, e.o.Self.Member) {
+		return true
+	}
+	left := 0
+	for _, id := range v.Members {
+		if !slices.Contains(stalled, id) {
+			left++
+		}
+	}
+	if left < v.UsefulCopies(e.o.Tolerate+1) {
+		return false
+	}
+	for _, id := range stalled {
+		e.unjoinable[id] = e.now + unjoinableFor
+	}
+	return false
+}
+
 // handOver asks the member that was heard of last to become candidate.
 func (e *Elector) handOver() {
 	t := e.tenure
 	t.handedAt = e.now
 	var best MemberID
 	for _, id := range t.view.Members {
-		if id != e.o.Self.Member && t.alive(e, id) && (best == "" || t.heard[id] > t.heard[best]) {
+		if id != e.o.Self.Member && t.alive(e, id) && !e.leftOut(id) && (best == "" || t.heard[id] > t.heard[best]) {
 			best = id
 		}
 	}
--- a/sim/system/controlfaults_test.go
+++ b/sim/system/controlfaults_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"liftgauge/internal/protocol"
+	"liftgauge/sim/system/virtualdisk"
 )
 
 // lostAnswers is how many of ten answers to orders are lost beside the faults of control.
@@ -173,6 +174,38 @@
 	}
 }
 
+// TestOrdersGoOnWhileADiskOfControlStalls stalls the disk of one process of control for longer than an operator waits. The process still votes and
+// answers, so nobody else would leave it out.
+func TestOrdersGoOnWhileADiskOfControlStalls(t *testing.T) {
+	const stall, within = 9 * time.Second, 4 * time.Second
+	for _, processes := range []int{3, 4} {
+		for _, which := range []string{"the primary", "another"} {
+			t.Run(fmt.Sprintf("%s of %d", which, processes), func(t *testing.T) {
+				t.Parallel()
+				play(t, Options{Seed: 17, Control: processes, Edges: 4}, func(t *testing.T, w *World) {
+					is := is.NewRelaxed(t)
+					p := w.controlPrimary()
+					if which == "another" {
+						p = w.others(p)[0]
+					}
+					w.Judge.trouble("disk stalls of " + p.Name)
+					p.disk.SetTrouble(virtualdisk.Trouble{Stalled: true})
+					begun := time.Now()
+					for revision := 5; time.Since(begun) < stall; revision++ {
+						status, err := w.Operator.Replace(revision, w.Operator.Document(revision+1, fifoRoute, plainRoute, pacedRoute), within)
+						is.NoErr(err)
+						is.Equal(status, http.StatusOK)
+						time.Sleep(500 * time.Millisecond)
+					}
+					p.disk.SetTrouble(virtualdisk.Trouble{})
+					time.Sleep(bounds.Contact())
+					is.True(w.controlIsWhole())
+				})
+			})
+		}
+	}
+}
+
 // TestControlIsWholeWithinCatchUp takes the disks of two processes of control one after the other, the second as soon as the first counts as whole,
 // and measures how long the group takes to survive F losses again: all processes are witnesses and F+2 of them members, none behind.
 func TestControlIsWholeWithinCatchUp(t *testing.T) {
