Answer a retirement with 503 while a store that would allow it is away

Cause: 409 is final for an operator, and the count of machines that would remain took a store that was away for a moment for gone (by reading; docs/control-safety.md had it under What does not hold). Forced by TestRetirementWhileAStoreIsAway and TestRetirementThatAStoreAwayMayAllow.

--- a/internal/roles/control/retire.go
+++ b/internal/roles/control/retire.go
@@ -47,8 +47,8 @@
 		if s.Retiring {
 			continue
 		}
-		if !placement.CanRetire(p.placementStores(now), s.Member, p.daemon.settings.Copies()) {
-			return refusal(http.StatusConflict, "too few storage machines would remain: add one before")
+		if refused, ok := p.mayRetire(now, s.Member); !ok {
+			return refused
 		}
 	}
 	for _, s := range stores {
@@ -62,6 +62,18 @@
 	return p.retirement(name)
 }
 
+// mayRetire refuses a retirement that would leave too few machines: for good, unless one that is away now is likely to be back.
+func (p *primary) mayRetire(now time.Duration, member string) (refused answer, ok bool) {
+	stores, copies := p.placementStores(now), p.daemon.settings.Copies()
+	switch {
+	case placement.CanRetire(stores, member, copies):
+		return answer{}, true
+	case placement.CanRetireSoon(stores, member, copies):
+		return unavailable("a storage machine is away, and without it too few would remain: ask again when it is back"), false
+	}
+	return refusal(http.StatusConflict, "too few storage machines would remain: add one before"), false
+}
+
 // describeRetirement says how far the emptying of a machine is.
 func (p *primary) describeRetirement(name string) answer {
 	retiring := false
--- a/internal/roles/control/stores_test.go
+++ b/internal/roles/control/stores_test.go
@@ -129,6 +129,22 @@
 	is.Equal(r.body, `{"State":"succeeded"}`)
 }
 
+// A store that is away for a moment does not make the refusal of a retirement final.
+func TestRetirementWhileAStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	c.startAll()
+	stores := []*fakeStore{c.startStore(30, "disk"), c.startStore(31, "disk"), c.startStore(32, "disk")}
+	c.await(stores[0].Agent, "the first table", func(v *agent.View) bool { return len(v.Partitions.Partitions) > 0 })
+	stores[2].Close()
+	c.await(stores[0].Agent, "the end of a session", func(v *agent.View) bool { return len(v.Live(protocol.RoleStore)) == 2 })
+	path := "/retire/" + stores[0].name + "/start"
+	r, _ := c.call(c.primary(), http.MethodPost, path, 0, []byte(`{"DurationS":10}`))
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	c.startStore(32, "disk")
+	is.Equal(c.operator(c.machine(1), http.MethodPost, path, 0, []byte(`{"DurationS":10}`)).status, http.StatusOK)
+}
+
 func TestListIsReadByOneAndTakenOver(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 3)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -120,11 +120,21 @@
 
 // CanRetire reports whether enough other stores are live and not retiring to hold all copies without the member.
 func CanRetire(stores []Store, member string, copies int) bool {
+	return remaining(stores, member, 0) >= copies
+}
+
+// CanRetireSoon is CanRetire if those that have gone within SettleTime return.
+func CanRetireSoon(stores []Store, member string, copies int) bool {
+	return remaining(stores, member, SettleTime) >= copies
+}
+
+// remaining counts the nodes that hold copies without a member: of stores that do not retire and have been gone no longer than a time.
+func remaining(stores []Store, member string, goneFor time.Duration) int {
 	nodes := map[string]bool{}
 	for _, s := range stores {
-		if s.GoneFor == 0 && !s.Retiring && nodeName(s.Member) != nodeName(member) {
+		if s.GoneFor <= goneFor && !s.Retiring && nodeName(s.Member) != nodeName(member) {
 			nodes[nodeName(s.Member)] = true
 		}
 	}
-	return len(nodes) >= copies
+	return len(nodes)
 }
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -189,6 +189,15 @@
 	is.True(CanRetire(stores, b, 1))
 }
 
+func TestRetirementThatAStoreAwayMayAllow(t *testing.T) {
+	is := is.New(t)
+	stores := gone(fourZones()[:3], c, SettleTime)
+	is.True(!CanRetire(stores, a, 2))
+	is.True(CanRetireSoon(stores, a, 2))
+	is.True(!CanRetireSoon(stores, a, 3))
+	is.True(!CanRetireSoon(gone(stores, c, SettleTime+1), a, 2))
+}
+
 func TestSecondStoreGoneWhileOneRetires(t *testing.T) {
 	is := is.New(t)
 	stores := gone(fourZones()[:3], b, time.Second)
