Tell a store that came back with another disk what runs here; play the worst faults of stores

Cause: a dispatcher's link kept the member that its store had when the link was opened. A store that came back with an empty disk is another member at the same address, so when it became primary by a planned hand-over, no Hello listed what was running of its partitions. Found by the new store faults, traced by the frames of that message. The link now follows its store's member, and a partition whose primary the node table does not show yet is listed to every store. Forced by TestStoreWithAnotherDiskHearsOfWhatRuns, with either table first. TestStoreFaults: eight kinds (halves; behind; power then disks; disks then power; replaced as soon as whole; retired beside losses; dark with lost disks; power in turn then disks) with F 1 and 2.

--- a/internal/roles/dispatcher/stores/fake_test.go
+++ b/internal/roles/dispatcher/stores/fake_test.go
@@ -18,6 +18,7 @@
 
 // fakeStore is a store that hands out what a test says, and shows what it gets.
 type fakeStore struct {
+	disk    string // part of its member
 	server  *rpc.Server
 	hellos  chan greeting
 	pauses  chan *rpc.Conn
@@ -123,23 +124,32 @@
 	return r
 }
 
+func (s *fakeStore) member() string { return "m" + s.server.Addr() + s.disk }
+
 // table publishes a table in which the partitions are led by the given stores, with the epochs.
-func (r *rig) table(epoch uint64, primaries ...*fakeStore) {
+func (r *rig) table(epoch uint64, primaries ...*fakeStore) { r.publish(r.tables(epoch, primaries...)) }
+
+func (r *rig) publish(view agent.View) {
+	r.view = view
+	r.directory.Follow(&view)
+}
+
+// tables makes the tables that table publishes.
+func (r *rig) tables(epoch uint64, primaries ...*fakeStore) agent.View {
 	view := r.view
 	view.Nodes, view.Partitions = nil, protocol.PartitionTable{}
 	seen := map[*fakeStore]bool{}
 	for i, s := range primaries {
 		address := s.server.Addr()
-		view.Partitions.Partitions = append(view.Partitions.Partitions, protocol.PartitionView{Partition: uint32(i), Epoch: epoch, Primary: "m" + address})
+		view.Partitions.Partitions = append(view.Partitions.Partitions, protocol.PartitionView{Partition: uint32(i), Epoch: epoch, Primary: s.member()})
 		if !seen[s] {
 			seen[s] = true
-			view.Nodes = append(view.Nodes, protocol.Node{Key: address, Role: protocol.RoleStore, Member: "m" + address, Zone: "a", Region: "r", Address: address})
+			view.Nodes = append(view.Nodes, protocol.Node{Key: address, Role: protocol.RoleStore, Member: s.member(), Zone: "a", Region: "r", Address: address})
 		}
 	}
 	view.PartitionsVersion.Number++
 	view.NodesVersion.Number++
-	r.view = view
-	r.directory.Follow(&view)
+	return view
 }
 
 const patience = 10 * time.Second // never spent by a test that passes
--- a/internal/roles/dispatcher/stores/links.go
+++ b/internal/roles/dispatcher/stores/links.go
@@ -57,7 +57,8 @@
 
 // link is the connection to one store.
 type link struct {
-	store   directory.Store
+	address string
+	store   directory.Store // under the lock of Links
 	stop    context.CancelFunc
 	refresh chan struct{}
 }
@@ -93,7 +94,11 @@
 		}
 		if one == nil {
 			l.open(store)
-		} else if again {
+			continue
+		}
+		changed := one.store != store // such as its member, after a start with another disk
+		one.store = store
+		if again || changed {
 			one.wake()
 		}
 	}
@@ -127,7 +132,7 @@
 // open begins a link; the caller holds the lock.
 func (l *Links) open(store directory.Store) {
 	ctx, stop := context.WithCancel(l.ctx)
-	one := &link{store: store, stop: stop, refresh: make(chan struct{}, 1)}
+	one := &link{address: store.Address, store: store, stop: stop, refresh: make(chan struct{}, 1)}
 	l.links[store.Address] = one
 	l.tasks.Go(func() { l.keep(ctx, one) })
 }
@@ -142,7 +147,7 @@
 // keep holds the link open until its context ends.
 func (l *Links) keep(ctx context.Context, one *link) {
 	for ctx.Err() == nil {
-		conn, err := l.options.Connections.Get(ctx, one.store.Address)
+		conn, err := l.options.Connections.Get(ctx, one.address)
 		if err != nil {
 			sleep(ctx, redialPause)
 			continue
@@ -172,15 +177,15 @@
 // greet sends a Hello, and a Pause where no deliveries are wanted.
 func (l *Links) greet(one *link, conn *rpc.Conn) bool {
 	l.mu.Lock()
-	windows, paused := l.windows, l.paused
+	windows, paused, store := l.windows, l.paused, one.store
 	l.mu.Unlock()
 	now := l.options.Directory.Current()
 	node := &l.options.Node
 	hello := protocol.Hello{Dispatcher: node.Key, Incarnation: node.Incarnation, Zone: node.Zone, Region: node.Region,
 		Table: now.TableVersion, Configuration: now.ConfigurationVersion, Windows: windows}
-	hello.Held = l.held.greet(conn, one.store.Key, l.options.Now(), func(partition uint32) bool {
+	hello.Held = l.held.greet(conn, store.Key, l.options.Now(), func(partition uint32) bool {
 		p, ok := now.Partition(partition)
-		return ok && p.Primary == one.store.Member
+		return ok && (p.Primary == store.Member || p.Address == "") // a primary that the node table does not show yet may be this one
 	})
 	if err := conn.Notify(protocol.KindHello, hello.Append(nil)); err != nil {
 		return false
--- a/internal/roles/dispatcher/stores/links_test.go
+++ b/internal/roles/dispatcher/stores/links_test.go
@@ -71,6 +71,37 @@
 	g.untilHeld(t, r, 0)
 }
 
+// A store with another disk is another member at the same address: it hears of what is running here when it becomes primary, whichever of the two
+// tables comes first.
+func TestStoreWithAnotherDiskHearsOfWhatRuns(t *testing.T) {
+	for _, nodesFirst := range []bool{true, false} {
+		is := is.New(t)
+		r, old, fresh := newRig(t), newFakeStore(t), newFakeStore(t)
+		r.table(1, old, fresh)
+		old.helloAt(t, 1).deliver(t, message("m", 1))
+		next(t, r.runs)
+		fresh.disk = "/another"
+		if nodesFirst {
+			r.table(2, old, fresh)
+			fresh.helloAt(t, 2)
+			r.table(3, fresh, old)
+		} else {
+			view := r.tables(2, fresh, old)
+			view.Nodes = r.view.Nodes
+			r.publish(view)
+		}
+		for {
+			g := next(t, fresh.hellos)
+			is.True(g.hello.Table.Number <= r.view.PartitionsVersion.Number)
+			if len(g.hello.Held) > 0 {
+				is.Equal(g.hello.Held, []protocol.HeldDelivery{{ID: "m", Attempt: 1}})
+				break
+			}
+			is.True(g.hello.Table.Number < r.view.PartitionsVersion.Number) // by this table it has to be told
+		}
+	}
+}
+
 func TestResultIsRepeatedUntilItIsOnDisk(t *testing.T) {
 	is := is.New(t)
 	r, s := newRig(t), newFakeStore(t)
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -247,6 +247,12 @@
 		New:     "",
 		Package: "./internal/roles/control",
 	},
+	{
+		Promise: "a store with another disk is told what runs", File: "internal/roles/dispatcher/stores/links.go",
+		Old:     "\t\tone.store = store\n",
+		New:     "",
+		Package: "./internal/roles/dispatcher/stores",
+	},
 	{
 		Promise: "a member whose disk stalls is left out", File: "replication/tenure.go",
 		Old:     "\tfor _, id := range stalled {\n",
--- /dev/null
+++ b/sim/system/storefaults_test.go
@@ -0,0 +1,43 @@
+package system
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestStoreFaults plays each of the worst faults of stores beside traffic: nothing that was acknowledged is lost, and every partition is whole again
+// in time.
+func TestStoreFaults(t *testing.T) {
+	for _, f := range storeFaults {
+		for i := range *faultSeeds {
+			seed := *firstSeed + uint64(i)
+			t.Run(fmt.Sprint(f.name, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				o := Options{Seed: seed, Stores: 4, Machines: 1}
+				if seed%2 == 0 {
+					o = Options{Seed: seed, Stores: 6, Edges: 5, Machines: 2}
+				}
+				playStoreFault(t, o, f)
+			})
+		}
+	}
+}
+
+func playStoreFault(t *testing.T, o Options, f storeFault) {
+	play(t, o, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		during(w, 14*time.Second, func() {
+			is.NoErr(f.play(w, rand.New(rand.NewPCG(o.Seed, hash(f.name)))))
+			back := time.Now()
+			is.True(w.awaitWhole(bounds.Contact())) // in time
+			time.Sleep(seconds(bounds.RecoveryS) - time.Since(back))
+			w.Send(Traffic{Route: plainRoute, Every: 40 * time.Millisecond}, 2*time.Second, "after")
+			w.Judge.recovered(back)
+		})
+		is.Equal(w.Judge.Figures().Open, 0)
+	})
+}
