--- a/internal/protocol/table_codec.go
+++ b/internal/protocol/table_codec.go
@@ -74,6 +74,8 @@
 	m.names.pass(c, &m.view.Primary)
 	list(c, &m.view.Members, m.names.pass)
 	list(c, &m.view.Learners, m.names.pass)
-	list(c, &m.view.Sources, m.names.pass)
-	list(c, &m.view.Holders, m.names.pass)
+	if c.decoding || len(m.view.Sources)+len(m.view.Holders) > 0 { // left out at the end, as they mostly are empty
+		list(c, &m.view.Sources, m.names.pass)
+		list(c, &m.view.Holders, m.names.pass)
+	}
 }
