Have control's primary hand over when it alone is cut off from the stores

Ruled out: stores or dispatchers apart from each other (two pairs of stores only, in the log). When more than half of the stores, more than F and in more than one zone, are silent at once, the primary asks another member to take over and leaves sessions open for a second; not again for 10 s, and not in its first 3 s.

--- a/internal/roles/control/primary.go
+++ b/internal/roles/control/primary.go
@@ -26,6 +26,7 @@
 	operator  *configuration.Orders
 	durable   []byte // configuration on disk at the whole view; nil before the first
 	sessions  *session.Table
+	cutOff    cutOff
 	placement placementState
 	duty      dutyState
 }
--- a/internal/roles/control/sessions.go
+++ b/internal/roles/control/sessions.go
@@ -74,7 +74,9 @@
 	if p.sessions.Tick(now) {
 		p.daemon.logger.Info("control: this process was paused; sessions get that time back")
 	}
-	p.applySessionEvents(now, p.sessions.Expire(now))
+	if !p.awaitsTakeOver(now) {
+		p.applySessionEvents(now, p.sessions.Expire(now))
+	}
 }
 
 // applySessionEvents writes what changed in the table of sessions.
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -247,6 +247,10 @@
 		New:     "",
 		Package: "./internal/roles/control",
 	},
+	{
+		Promise: "a primary of control that is cut off from the stores hands over", File: "internal/roles/control/sessions.go",
+		Old: "if !p.awaitsTakeOver(now) {", New: "if now > 0 {",
+	},
 	{
 		Promise: "a store with another disk is told what runs", File: "internal/roles/dispatcher/stores/links.go",
 		Old:     "\t\tone.store = store\n",
--- a/replication/elector.go
+++ b/replication/elector.go
@@ -185,6 +185,15 @@
 	})
 }
 
+// HandOver asks another member to take over from this primary, which goes on until one does. It may be called again and again.
+func (e *Elector) HandOver(now time.Duration) []Action {
+	return e.run(now, func() {
+		if e.tenure != nil && e.now-e.tenure.handedAt >= introduceEvery {
+			e.handOver()
+		}
+	})
+}
+
 // IsNeeded tells whether a process that has resigned is still waited for: as a member of the view, unless it is the only one, or as a witness that the
 // primary is to leave out. To end before would take a vote away that another loss may need.
 func (e *Elector) IsNeeded() bool {
--- a/session/table.go
+++ b/session/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -126,6 +127,19 @@
 	return keys
 }
 
+// Overdue returns the nodes of a role whose sessions are past their deadline, or will be within a time unless a heartbeat comes.
+func (t *Table) Overdue(now time.Duration, role uint8, within time.Duration) []Node {
+	t.Tick(now)
+	var nodes []Node
+	for _, e := range t.sessions {
+		if e.node.Role == role && now+within >= e.deadline {
+			nodes = append(nodes, e.node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b Node) int { return strings.Compare(a.Key, b.Key) })
+	return nodes
+}
+
 // Expire ends the sessions that are past their deadline. An incarnation that has merely expired may come back.
 func (t *Table) Expire(now time.Duration) []Event {
 	var events []Event
--- a/sim/system/controlfaults_test.go
+++ b/sim/system/controlfaults_test.go
@@ -206,6 +206,24 @@
 	}
 }
 
+// TestPrimaryOfControlCutOffFromTheStores cuts control's primary off from all stores, while the other processes of control hear them, and it hears those:
+// no election follows by itself, and without a hand-over all stores would lose their sessions, and all messages be refused, for as long as the cut lasts.
+func TestPrimaryOfControlCutOffFromTheStores(t *testing.T) {
+	play(t, Options{Seed: 19, Control: 4, Edges: 4}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		primary := w.controlPrimary()
+		during(w, 14*time.Second, func() {
+			time.Sleep(4 * time.Second)
+			w.separate([]*Process{primary}, w.Of(protocol.RoleStore), 5*time.Second)
+			time.Sleep(bounds.Contact())
+			is.True(w.whole(w.Net.Host(operatorIP)))
+		})
+		f := w.Judge.Figures()
+		is.True(f.Refused+f.Unanswered < f.Sent/8) // those of the dispatcher beside it, which is cut off as well; without, a third of all
+		is.Equal(f.Open, 0)
+	})
+}
+
 // TestControlIsWholeWithinCatchUp takes the disks of two processes of control one after the other, the second as soon as the first counts as whole,
 // and measures how long the group takes to survive F losses again: all processes are witnesses and F+2 of them members, none behind.
 func TestControlIsWholeWithinCatchUp(t *testing.T) {
