--- a/session/overdue_test.go
+++ b/session/overdue_test.go
@@ -11,7 +11,9 @@
 	is := is.New(t)
 	const store, other = 1, 2
 	table := New(Options{Expiry: map[uint8]time.Duration{store: 700 * time.Millisecond, other: time.Second}})
-	renew := func(now time.Duration, key string, role uint8) { table.Renew(now, Node{Key: key, Role: role, Incarnation: 1}) }
+	renew := func(now time.Duration, key string, role uint8) {
+		table.Renew(now, Node{Key: key, Role: role, Incarnation: 1})
+	}
 	renew(0, "a", store)
 	renew(200*time.Millisecond, "b", store)
 	renew(0, "c", other)
