--- a/replication/replica_steps_test.go
+++ b/replication/replica_steps_test.go
@@ -295,19 +295,24 @@
 	return a.Version == b.Version && string(a.Value) == string(b.Value)
 }
 
+// play takes a drawn number of steps with a group that was settled, and ends all faults.
+func (m *replicaModel) play(t *rapid.T) {
+	m.joinAll()
+	m.drain()
+	for range rapid.IntRange(100, 1500).Draw(t, "steps") {
+		m.step()
+		m.check()
+	}
+	m.settle()
+	m.checkEnd()
+}
+
 func TestReplicaModel(t *testing.T) {
 	t.Parallel()
 	answered, actives := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newReplicaModel(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "nodes"), 2, rapid.IntRange(1, 2).Draw(t, "copies"))
-		m.joinAll()
-		m.drain()
-		for range rapid.IntRange(100, 1500).Draw(t, "steps") {
-			m.step()
-			m.check()
-		}
-		m.settle()
-		m.checkEnd()
+		m.play(t)
 		answered += m.answered
 		actives += len(m.started)
 	})
@@ -323,14 +328,7 @@
 		copies := rapid.IntRange(2, 3).Draw(t, "copies")
 		m := newReplicaModel(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(copies, 5).Draw(t, "nodes"), copies, copies)
 		m.merges = true
-		m.joinAll()
-		m.drain()
-		for range rapid.IntRange(100, 1500).Draw(t, "steps") {
-			m.step()
-			m.check()
-		}
-		m.settle()
-		m.checkEnd()
+		m.play(t)
 		merged += m.merged
 		actives += len(m.started)
 	})
--- a/sim/system/controlfaults.go
+++ b/sim/system/controlfaults.go
@@ -14,14 +14,8 @@
 // longCut is how long the control side is cut in the worst of its faults.
 const longCut = 20 * time.Second
 
-// controlFault does one of the worst things to the control side beside operators and readers, and undoes it. Where disks are lost, they are
-// no more than FaultTolerance allows at a time, though other losses overlap with them.
-type controlFault struct {
-	name string
-	play func(w *World, random *rand.Rand) error
-}
-
-var controlFaults = []controlFault{
+// controlFaults are the worst things for the control side, beside operators and readers. Other losses overlap with those of disks.
+var controlFaults = []fault{
 	{"halves", func(w *World, random *rand.Rand) error {
 		controls := w.shuffled(protocol.RoleControl, random)
 		half := len(controls) / 2
--- a/sim/system/controlfaults_test.go
+++ b/sim/system/controlfaults_test.go
@@ -20,22 +20,16 @@
 // TestControlFaults plays each of the worst faults of control while operators race, lose answers and read: what they saw is linearizable,
 // every read is new enough, and traffic recovers.
 func TestControlFaults(t *testing.T) {
-	for _, f := range controlFaults {
-		for i := range *faultSeeds {
-			seed := *firstSeed + uint64(i)
-			t.Run(fmt.Sprint(f.name, " ", seed), func(t *testing.T) {
-				t.Parallel()
-				o := Options{Seed: seed, Control: 4, Edges: 4}
-				if seed%2 == 0 {
-					o = Options{Seed: seed, Control: 6, Edges: 6, Machines: 2}
-				}
-				playControlFault(t, o, f)
-			})
+	playEach(t, controlFaults, func(t *testing.T, f fault, seed uint64) {
+		o := Options{Seed: seed, Control: 4, Edges: 4}
+		if seed%2 == 0 {
+			o = Options{Seed: seed, Control: 6, Edges: 6, Machines: 2}
 		}
-	}
+		playControlFault(t, o, f)
+	})
 }
 
-func playControlFault(t *testing.T, o Options, f controlFault) {
+func playControlFault(t *testing.T, o Options, f fault) {
 	var history *History
 	play(t, o, func(t *testing.T, w *World) {
 		is := is.NewRelaxed(t)
--- a/sim/system/faults.go
+++ b/sim/system/faults.go
@@ -11,7 +11,8 @@
 	"liftgauge/sim/system/virtualdisk"
 )
 
-// fault does one thing to the system and undoes it. What is lost by it is no more than one machine.
+// fault does one thing to the system and undoes it. Of disks it loses no more at a time than FaultTolerance allows; those in faults lose no more
+// than one machine.
 type fault struct {
 	name string
 	play func(w *World, random *rand.Rand) error
--- a/sim/system/faults_test.go
+++ b/sim/system/faults_test.go
@@ -12,25 +12,32 @@
 
 var faultSeeds = flag.Int("system.faultseeds", faultDays, "days of TestFaultsAlone for each fault")
 
-// TestFaultsAlone plays each fault by itself, twice on a day.
-func TestFaultsAlone(t *testing.T) {
-	for _, f := range faults {
+// playEach plays each fault with as many seeds as are asked for, side by side.
+func playEach(t *testing.T, list []fault, play func(t *testing.T, f fault, seed uint64)) {
+	for _, f := range list {
 		for i := range *faultSeeds {
 			seed := *firstSeed + uint64(i)
 			t.Run(fmt.Sprint(f.name, " ", seed), func(t *testing.T) {
 				t.Parallel()
-				play(t, Options{Seed: seed}, func(t *testing.T, w *World) {
-					is := is.NewRelaxed(t)
-					random := rand.New(rand.NewPCG(seed, 0x66617578))
-					during(w, 8*time.Second, func() {
-						for range 2 {
-							is.NoErr(f.play(w, random))
-							time.Sleep(bounds.Contact())
-						}
-					})
-					is.Equal(w.Judge.Figures().Open, 0)
-				})
+				play(t, f, seed)
 			})
 		}
 	}
 }
+
+// TestFaultsAlone plays each fault by itself, twice on a day.
+func TestFaultsAlone(t *testing.T) {
+	playEach(t, faults, func(t *testing.T, f fault, seed uint64) {
+		play(t, Options{Seed: seed}, func(t *testing.T, w *World) {
+			is := is.NewRelaxed(t)
+			random := rand.New(rand.NewPCG(seed, 0x66617578))
+			during(w, 8*time.Second, func() {
+				for range 2 {
+					is.NoErr(f.play(w, random))
+					time.Sleep(bounds.Contact())
+				}
+			})
+			is.Equal(w.Judge.Figures().Open, 0)
+		})
+	})
+}
--- a/sim/system/storefaults.go
+++ b/sim/system/storefaults.go
@@ -11,14 +11,8 @@
 	"liftgauge/internal/protocol"
 )
 
-// A storeFault does one of the worst things to the stores, and undoes it. No more disks are lost at a time than FaultTolerance allows, though other
-// losses overlap with theirs.
-type storeFault struct {
-	name string
-	play func(w *World, random *rand.Rand) error
-}
-
-var storeFaults = []storeFault{
+// storeFaults are the worst things for the stores. Other losses overlap with those of disks.
+var storeFaults = []fault{
 	{"halves", func(w *World, random *rand.Rand) error {
 		stores := w.shuffled(protocol.RoleStore, random)
 		half := len(stores) / 2
--- a/sim/system/storefaults_test.go
+++ b/sim/system/storefaults_test.go
@@ -1,7 +1,6 @@
 package system
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -12,22 +11,16 @@
 // TestStoreFaults plays each of the worst faults of stores beside traffic: nothing that was acknowledged is lost, and every partition is whole again
 // in time.
 func TestStoreFaults(t *testing.T) {
-	for _, f := range storeFaults {
-		for i := range *faultSeeds {
-			seed := *firstSeed + uint64(i)
-			t.Run(fmt.Sprint(f.name, " ", seed), func(t *testing.T) {
-				t.Parallel()
-				o := Options{Seed: seed, Stores: 4, Machines: 1}
-				if seed%2 == 0 {
-					o = Options{Seed: seed, Stores: 6, Edges: 5, Machines: 2}
-				}
-				playStoreFault(t, o, f)
-			})
+	playEach(t, storeFaults, func(t *testing.T, f fault, seed uint64) {
+		o := Options{Seed: seed, Stores: 4, Machines: 1}
+		if seed%2 == 0 {
+			o = Options{Seed: seed, Stores: 6, Edges: 5, Machines: 2}
 		}
-	}
+		playStoreFault(t, o, f)
+	})
 }
 
-func playStoreFault(t *testing.T, o Options, f storeFault) {
+func playStoreFault(t *testing.T, o Options, f fault) {
 	play(t, o, func(t *testing.T, w *World) {
 		is := is.NewRelaxed(t)
 		during(w, 14*time.Second, func() {
