--- a/cmd/liftgauge/roles_test.go
+++ b/cmd/liftgauge/roles_test.go
@@ -13,13 +13,32 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"liftgauge/internal/nodeconfig"
 	"liftgauge/internal/protocol"
+	"liftgauge/replication"
 )
 
+// TestDeployedControlBearsTwoLossesInThreeZones reads the deploy file: in three zones with two disks each, as many machines run control as bear F = 2.
+func TestDeployedControlBearsTwoLossesInThreeZones(t *testing.T) {
+	is := is.New(t)
+	content, err := os.ReadFile(filepath.Join("..", "..", "deploy", "system.toml"))
+	is.NoErr(err)
+	var deploy struct {
+		Roles map[string]struct {
+			Count  int
+			Serves []string
+		}
+	}
+	is.NoErr(toml.Unmarshal(content, &deploy))
+	const zones, losses = 3, 2
+	is.True(zones*deploy.Roles["control"].Count >= replication.WitnessesFor(losses))
+	is.Equal(deploy.Roles["control"].Serves, []string{"control"})
+}
+
 const nodeSettings = `NodeName = "s1"
 Serves = ["storage"]
 Ip = "127.0.0.1"
--- a/internal/roles/control/primary.go
+++ b/internal/roles/control/primary.go
@@ -29,6 +29,7 @@
 	cutOff    cutOff
 	placement placementState
 	duty      dutyState
+	tolerance toleranceWatch
 }
 
 func newPrimary(d *daemon, epoch, activation uint64, m *model) (*primary, error) {
@@ -103,6 +104,7 @@
 	p.tickPlacement(now)
 	p.duty.tick(now)
 	p.items.publishDeferred()
+	p.watchTolerance(now)
 }
 
 // settle begins what the last event made necessary.
--- a/internal/roles/control/status.go
+++ b/internal/roles/control/status.go
@@ -10,6 +10,7 @@
 
 	"liftgauge/internal/protocol"
 	"liftgauge/internal/statuspage"
+	"liftgauge/replication"
 )
 
 func (a operatorAPI) status(w http.ResponseWriter, r *http.Request) {
@@ -34,6 +35,8 @@
 		page.Epoch, page.Primary, page.Members = v.Epoch, v.Primary, v.Members
 		page.Learners, page.Witnesses, page.Blocked = v.Learners, v.Witnesses, d.replica.Blocked()
 	}
+	page.LossesBorne = replication.ControlView{Witnesses: page.Witnesses}.LossesBorne()
+	page.LossesAsked = d.settings.Copies() - 1
 	for _, n := range view.Nodes {
 		page.Nodes = append(page.Nodes, statuspage.Node{Key: n.Key, Role: n.Role.String(), Zone: n.Zone, Address: n.Address, Member: n.Member,
 			Incarnation: n.Incarnation, Leaving: n.Leaving})
@@ -82,7 +85,10 @@
 		"control_session_age_s":    d.agent.SessionAge().Seconds(),
 	}
 	if d.elector != nil {
-		figures["control_epoch"] = float64(d.elector.View().Epoch)
+		view := d.elector.View()
+		figures["control_epoch"] = float64(view.Epoch)
+		figures["control_witnesses"] = float64(len(view.Witnesses))
+		figures["control_losses_borne"] = float64(view.LossesBorne())
 		figures["control_writes_pending"] = float64(d.replica.Pending())
 	}
 	if p := d.primary; p != nil {
--- /dev/null
+++ b/internal/roles/control/tolerance_test.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestToleranceIsReportedOnceAndOnlyAfterARepairsTime(t *testing.T) {
+	const patience = 4 * time.Second
+	is := is.New(t)
+	var w toleranceWatch
+	for _, step := range []struct {
+		at           time.Duration
+		borne, asked int
+		want         toleranceChange
+	}{
+		{0, 1, 2, toleranceUnchanged},
+		{3 * time.Second, 1, 2, toleranceUnchanged},
+		{3500 * time.Millisecond, 2, 2, toleranceUnchanged}, // repaired in time: nothing to tell
+		{5 * time.Second, 1, 2, toleranceUnchanged},
+		{9 * time.Second, 1, 2, toleranceLost},
+		{10 * time.Second, 1, 2, toleranceUnchanged},
+		{11 * time.Second, 2, 2, toleranceRestored},
+		{12 * time.Second, 2, 2, toleranceUnchanged},
+		{13 * time.Second, 0, 0, toleranceUnchanged},
+	} {
+		is.Equal(w.observe(step.at, step.borne, step.asked, patience), step.want)
+	}
+}
--- a/internal/statuspage/status.go
+++ b/internal/statuspage/status.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"liftgauge/replication"
 )
 
 // Page is what one control process knows of the system.
@@ -22,6 +24,8 @@
 	Members      []string
 	Learners     []string
 	Witnesses    []string
+	LossesBorne  int      // witnesses that may be lost at once
+	LossesAsked  int      // by FaultTolerance
 	Blocked      []string `json:",omitempty"` // members that writes wait for
 	Orders       int      // under way there
 	Nodes        []Node
@@ -63,6 +67,10 @@
 	fmt.Fprintf(out, "as seen by %s (%s)\n", s.Node, role)
 	fmt.Fprintf(out, "control: epoch %d, primary %s at %s\n", s.Epoch, cmp.Or(s.Primary, "unknown"), cmp.Or(s.PrimaryPlane, "unknown"))
 	fmt.Fprintf(out, "  members %s; learners %s; witnesses %s\n", list(s.Members), list(s.Learners), list(s.Witnesses))
+	if s.Epoch > 0 && s.LossesBorne < s.LossesAsked {
+		fmt.Fprintf(out, "  control bears the loss of %d of its witnesses, FaultTolerance asks for %d: run control on %d machines with a disk\n",
+			s.LossesBorne, s.LossesAsked, replication.WitnessesFor(s.LossesAsked))
+	}
 	if len(s.Blocked) > 0 {
 		fmt.Fprintf(out, "  writes wait for %s\n", list(s.Blocked))
 	}
--- a/internal/statuspage/status_test.go
+++ b/internal/statuspage/status_test.go
@@ -12,6 +12,7 @@
 	s := Page{
 		Node: "edge-1/control", Active: true, Epoch: 513, Primary: "edge-1/d1", PrimaryPlane: "10.1.0.30:8046",
 		Members: []string{"edge-1/d1", "edge-2/d2"}, Witnesses: []string{"edge-1/d1", "edge-2/d2", "edge-3/d3"}, Blocked: []string{"edge-2/d2"},
+		LossesBorne: 1, LossesAsked: 1,
 		Orders: 1, Workers: 32,
 		Nodes: []Node{
 			{Key: "edge-1/control", Zone: "a", Address: "10.1.0.30:7240", Member: "edge-1/d1"},
@@ -39,3 +40,21 @@
 s3/z   0               gone, empty
 `)
 }
+
+func TestPrintTellsThatControlBearsTooFewLosses(t *testing.T) {
+	is := is.New(t)
+	const told = "  control bears the loss of 1 of its witnesses, FaultTolerance asks for 2: run control on 5 machines with a disk\n"
+	for _, c := range []struct {
+		epoch        uint64
+		borne, asked int
+		told         bool
+	}{
+		{513, 1, 2, true}, {513, 2, 2, false}, {513, 3, 2, false},
+		{0, 0, 2, false}, // no view is known yet
+	} {
+		var out bytes.Buffer
+		s := Page{Epoch: c.epoch, LossesBorne: c.borne, LossesAsked: c.asked}
+		is.NoErr(s.Print(&out))
+		is.Equal(bytes.Contains(out.Bytes(), []byte(told)), c.told)
+	}
+}
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -237,6 +237,15 @@
 		New:     "",
 		Package: "./replication",
 	},
+	{
+		Promise: "as many witnesses as F losses ask for are taken in", File: "replication/proposal.go",
+		Old: "if !t.view.IsWitness(id) && spare(n+1, len(gone))", New: "if n < 4 && !t.view.IsWitness(id) && spare(n+1, len(gone))",
+	},
+	{
+		Promise: "too few witnesses are told of", File: "internal/roles/control/tolerance.go",
+		Old: "if w.reported || now-w.shortSince < patience {", New: "if true {",
+		Package: "./internal/roles/control",
+	},
 	{
 		Promise: "a process that leaves leaves the witnesses", File: "replication/proposal.go",
 		Old: "return n > 2 && spare(n-1, 0) > spare(n, 1)", New: "return n > 2 && spare(n-1, 0) > n",
--- a/replication/elector_test.go
+++ b/replication/elector_test.go
@@ -252,6 +252,16 @@
 	is.Equal(answer(3, 9), 1) // three of five of this view, the one of before not among them
 }
 
+func TestLossesBorne(t *testing.T) {
+	is := is.New(t)
+	for n, want := range []int{0, 0, 0, 1, 1, 2, 2, 3} {
+		is.Equal(ControlView{Witnesses: make([]MemberID, n)}.LossesBorne(), want)
+	}
+	for losses := range 5 {
+		is.Equal(ControlView{Witnesses: make([]MemberID, WitnessesFor(losses))}.LossesBorne(), losses)
+	}
+}
+
 func TestUsefulCopies(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct{ witnesses, wanted, useful int }{
--- /dev/null
+++ b/sim/system/controllosses_test.go
@@ -0,0 +1,174 @@
+package system
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// controlLoss takes F processes of control at once and brings them back after a while.
+type controlLoss struct {
+	name string
+	play func(w *World, lost []*Process, away time.Duration) error
+}
+
+var controlLosses = []controlLoss{
+	{"disks", func(w *World, lost []*Process, away time.Duration) error {
+		failed := loseDisks(lost)
+		time.Sleep(away)
+		return errors.Join(failed, startEach(lost))
+	}},
+	{"disks one after the other", func(w *World, lost []*Process, _ time.Duration) error {
+		var failed error
+		for _, p := range lost {
+			failed = errors.Join(failed, w.emptyDisk(p))
+			time.Sleep(500 * time.Millisecond) // less than CatchUpS: the one before still counts as lost
+		}
+		return failed
+	}},
+	{"dark", func(w *World, lost []*Process, away time.Duration) error {
+		var failed error
+		for _, p := range lost {
+			failed = errors.Join(failed, p.LosePower())
+		}
+		time.Sleep(away)
+		return errors.Join(failed, startEach(lost))
+	}},
+	{"cut off", func(w *World, lost []*Process, away time.Duration) error {
+		for _, p := range lost {
+			w.CutOff(p.IP, true)
+		}
+		time.Sleep(away)
+		for _, p := range lost {
+			w.CutOff(p.IP, false)
+		}
+		return nil
+	}},
+}
+
+func loseDisks(lost []*Process) (failed error) {
+	for _, p := range lost {
+		failed = errors.Join(failed, p.LosePower())
+		p.Wipe()
+	}
+	return failed
+}
+
+func startEach(processes []*Process) (failed error) {
+	for _, p := range processes {
+		failed = errors.Join(failed, p.Start())
+	}
+	return failed
+}
+
+const (
+	lossLasts = 9 * time.Second
+	// electedWithin is the time that a change of control's primary may take, and pacing wait for, after F processes are lost.
+	electedWithin = 3 * time.Second
+	orderWithin   = 4 * time.Second
+	// pacedWithin is the time that a message of a rate-limited service may wait for its run while control has a primary.
+	pacedWithin = time.Second
+)
+
+// TestControlBearsLosses takes F processes of control at once, the primary among them, from each number of processes that has 2F+1 or more. Orders are
+// taken, rate-limited services are served and sessions stay meanwhile; after a loss of all power nothing is forgotten.
+func TestControlBearsLosses(t *testing.T) {
+	for _, o := range []Options{{Control: 3, Machines: 1}, {Control: 4, Machines: 1}, {Control: 5, Machines: 2}, {Control: 6, Machines: 2}} {
+		for _, loss := range controlLosses {
+			t.Run(fmt.Sprintf("%s of %d, F %d", loss.name, o.Control, o.Machines), func(t *testing.T) {
+				t.Parallel()
+				o.Seed, o.Edges, o.Stores = 23, 6, 4
+				play(t, o, func(t *testing.T, w *World) { playControlLoss(t, w, loss) })
+			})
+		}
+	}
+}
+
+func playControlLoss(t *testing.T, w *World, loss controlLoss) {
+	is := is.NewRelaxed(t)
+	primary := w.controlPrimary()
+	lost := append([]*Process{primary}, w.others(primary)...)[:w.options.Machines]
+	revision := 5
+	change := func() {
+		status, err := w.Operator.Replace(revision, w.Operator.Document(revision+1, fifoRoute, plainRoute, pacedRoute), orderWithin)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		revision++
+	}
+	during(w, lossLasts+4*time.Second, func() {
+		change()
+		begun := time.Now()
+		played := make(chan error)
+		w.running.Go(func() { played <- loss.play(w, lost, lossLasts) })
+		for time.Since(begun) < lossLasts {
+			time.Sleep(500 * time.Millisecond)
+			change()
+		}
+		is.NoErr(<-played)
+		late := w.Judge.begunLate("svc-c", begun.Add(electedWithin), begun.Add(lossLasts), pacedWithin)
+		is.Equal(late, 0) // rate-limited services go on
+		time.Sleep(seconds(bounds.CatchUpS))
+		is.True(w.controlIsWhole())
+	})
+	change()
+	is.NoErr(w.losePowerEverywhere())
+	time.Sleep(bounds.Contact())
+	is.Equal(w.Operator.Newest().Revision, revision)
+	is.Equal(w.Judge.Figures().Open, 0)
+}
+
+// TestControlWithoutAMajorityGoesOnWhenItIsBack takes a majority of control's processes away, more than any F allows: traffic without a rate goes on,
+// no order gets a clear answer, and all goes on once they are back.
+func TestControlWithoutAMajorityGoesOnWhenItIsBack(t *testing.T) {
+	for _, processes := range []int{3, 4, 5, 6} {
+		t.Run(fmt.Sprint(processes), func(t *testing.T) {
+			t.Parallel()
+			play(t, Options{Seed: 24, Control: processes, Edges: 6, Stores: 4}, func(t *testing.T, w *World) {
+				is := is.NewRelaxed(t)
+				lost := w.shuffled(w.controlPrimary().Role, rand.New(rand.NewPCG(24, uint64(processes))))[:(processes+1)/2]
+				during(w, lossLasts+4*time.Second, func() {
+					begun := time.Now()
+					for _, p := range lost {
+						is.NoErr(p.LosePower())
+					}
+					time.Sleep(electedWithin)
+					document := w.Operator.Document(6, fifoRoute, plainRoute, pacedRoute)
+					status, err := w.Operator.Replace(5, document, orderWithin)
+					is.True(err != nil || status >= http.StatusInternalServerError) // not decided
+					is.Equal(w.Judge.begunLate("svc-b", begun.Add(electedWithin), time.Now().Add(-2*pacedWithin), pacedWithin), 0)
+					is.NoErr(startEach(lost))
+					status, err = w.Operator.Replace(5, document, 2*orderWithin)
+					is.NoErr(err)
+					is.Equal(status, http.StatusOK)
+					time.Sleep(bounds.Contact())
+					is.True(w.controlIsWhole())
+				})
+				is.Equal(w.Judge.Figures().Open, 0)
+			})
+		})
+	}
+}
+
+// begunLate counts the messages of a service that were sent in a span and accepted, and whose run began later than within after that.
+func (j *Judge) begunLate(service string, from, to time.Time, within time.Duration) (count int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, m := range j.messages {
+		if m.service != service || m.sent.Before(from) || m.sent.After(to) || m.accepted.IsZero() {
+			continue
+		}
+		begun := m.began
+		if begun.IsZero() {
+			begun = time.Now()
+		}
+		if begun.Sub(m.accepted.Add(m.delay)) > within {
+			count++
+		}
+	}
+	return count
+}
