Put a partition's copies into one zone where only machines are to be borne

Given up: messages whose copies lie in a zone without power wait for it; FaultTolerance.Zones = 1 puts each copy into a zone of its own, as before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -61,8 +61,8 @@
 	Limit int
 	// SpreadRegions asks for copies in different regions, not only in different zones.
 	SpreadRegions bool
-	// SharedZones says that a loss of zones need not be survived by more than one copy: two zones are enough for a partition, and its
-	// primary is best where most of its copies are, so that fewer bytes cross zones.
+	// SharedZones says that a loss of zones need not be survived: a partition lies in as few zones as have stores enough for its copies, and
+	// its primary is best where most of these are, so that fewer bytes cross zones.
 	SharedZones bool
 	// NoBalance leaves out the moves that are made only for balance, so that the caller can pace them.
 	NoBalance bool
--- a/placement/separation.go
+++ b/placement/separation.go
@@ -6,8 +6,9 @@
 const (
 	sameNodeCost   = 1 << 20
 	sameRegionCost = 1 << 10
-	sharedZoneCost = 1 << 5 // all copies in one zone, where zones may be shared
 	sameZoneCost   = 1
+	// furtherZoneCost is that of a zone beyond the first, where zones need not be survived.
+	furtherZoneCost = 1
 )
 
 // pairCost says how badly two copies are separated, zones apart where they are judged for the whole set.
@@ -48,8 +49,8 @@
 	return cost
 }
 
-// zonesCost judges the zones of a set where copies may share them: all copies in one zone is worst, then each zone beyond two, as every
-// write crosses to it and nothing more is survived.
+// zonesCost judges the zones of a set where copies may share them: every write crosses once to each zone beyond the first, and no loss that is to be
+// borne is survived by that.
 func (s *state) zonesCost(list []int) int {
 	zones := 0
 	for n, i := range list {
@@ -57,13 +58,7 @@
 			zones++
 		}
 	}
-	switch {
-	case zones > 1:
-		return (zones - 2) * sameZoneCost
-	case len(list) >= s.in.Copies && len(list) > 1:
-		return sharedZoneCost
-	}
-	return 0
+	return max(0, zones-1) * furtherZoneCost
 }
 
 // totalCost sums the costs of all pairs, and of the zones.
