--- a/lab/mutants/mutants.go
+++ b/lab/mutants/mutants.go
@@ -6,16 +6,15 @@
 	"bytes"
 	"cmp"
 	"context"
-	"io/fs"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"regexp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"liftgauge/lab/sourcecopy"
 )
 
 // Mutant is one change of one file that breaks a promise.
@@ -39,12 +38,8 @@
 	Seconds float64
 }
 
-var (
-	// ErrStale means that a mutant's text does not stand once in its file.
-	ErrStale = errors.New("mutants: the text to change is not there once: bring the list of mutants up to the sources")
-	// ErrBuild means that a mutant does not compile.
-	ErrBuild = errors.New("mutants: the changed sources do not compile: mend the mutant")
-)
+// ErrBuild means that a mutant does not compile.
+var ErrBuild = errors.New("mutants: the changed sources do not compile: mend the mutant")
 
 // Named returns the mutants of the promises that are named, or all if none is.
 func Named(all []Mutant, promises []string) ([]Mutant, error) {
@@ -62,35 +57,19 @@
 	return found, nil
 }
 
-// mutated returns the content of the mutant's file with the change made.
-func (m Mutant) mutated(root string) ([]byte, error) {
-	content, err := os.ReadFile(filepath.Join(root, m.File))
-	if err != nil {
-		return nil, errors.Wrapf(err, "mutant %q", m.Promise)
-	}
-	if count := bytes.Count(content, []byte(m.Old)); count != 1 {
-		return nil, errors.Wrapf(ErrStale, "%s, %q stands %d times", m.File, m.Old, count)
-	}
-	return bytes.Replace(content, []byte(m.Old), []byte(m.New), 1), nil
-}
+// edit is the change that breaks the promise.
+func (m Mutant) edit() sourcecopy.Edit { return sourcecopy.Edit{File: m.File, Old: m.Old, New: m.New} }
 
 // Run plays a mutant: it copies the sources at root, changes the copy, and runs the tests of its package until one fails. patience bounds it;
 // a mutant whose tests do not end is caught too.
 func Run(ctx context.Context, root string, patience time.Duration, m Mutant) (r Result, err error) {
-	changed, err := m.mutated(root)
-	if err != nil {
-		return r, err
-	}
 	scratch, err := os.MkdirTemp("", "mutant")
 	if err != nil {
 		return r, err
 	}
 	defer os.RemoveAll(scratch)
-	if err := copySources(root, scratch); err != nil {
-		return r, err
-	}
-	if err := os.WriteFile(filepath.Join(scratch, m.File), changed, 0o640); err != nil {
-		return r, err
+	if err := sourcecopy.Make(root, scratch, m.edit()); err != nil {
+		return r, errors.Wrapf(err, "mutant %q", m.Promise)
 	}
 	begin := time.Now()
 	test := exec.CommandContext(ctx, "go", "test", "-vet=off", "-failfast", "-count", "1", "-timeout", patience.String(), m.testPackage())
@@ -129,37 +108,3 @@
 	}
 	return r
 }
-
-// notCopied are folders that no build needs.
-var notCopied = []string{"bin", "docs", "journal", "target"}
-
-// copySources copies what a build of the sources needs.
-func copySources(root, to string) error {
-	return filepath.WalkDir(root, func(path string, e fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		name, err := filepath.Rel(root, path)
-		if err != nil {
-			return err
-		}
-		switch {
-		case name == ".":
-			return nil
-		case strings.HasPrefix(e.Name(), ".") || slices.Contains(notCopied, name):
-			if e.IsDir() {
-				return filepath.SkipDir
-			}
-			return nil
-		case e.IsDir():
-			return os.MkdirAll(filepath.Join(to, name), 0o750)
-		case !e.Type().IsRegular():
-			return nil
-		}
-		content, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		return os.WriteFile(filepath.Join(to, name), content, 0o640)
-	})
-}
--- a/lab/mutants/mutants_test.go
+++ b/lab/mutants/mutants_test.go
@@ -20,7 +20,7 @@
 	is := is.NewRelaxed(t)
 	seen := map[string]bool{}
 	for _, m := range System {
-		changed, err := m.mutated(root)
+		changed, err := m.edit().Apply(root)
 		is.NoErr(err)
 		before, err := os.ReadFile(filepath.Join(root, m.File))
 		is.NoErr(err)
@@ -43,18 +43,6 @@
 	is.True(err != nil)
 }
 
-func TestStaleMutant(t *testing.T) {
-	is := is.New(t)
-	folder := t.TempDir()
-	is.NoErr(os.WriteFile(filepath.Join(folder, "a.go"), []byte("one one"), 0o600))
-	for _, text := range []string{"one", "two"} {
-		_, err := Mutant{File: "a.go", Old: text}.mutated(folder)
-		is.True(errors.Is(err, ErrStale))
-	}
-	_, err := Mutant{File: "b.go"}.mutated(folder)
-	is.True(errors.Is(err, os.ErrNotExist))
-}
-
 func TestRead(t *testing.T) {
 	is := is.New(t)
 	output := []byte("--- FAIL: TestDays (1.00s)\n    --- FAIL: TestDays/seed_1 (1.00s)\n" +
