--- /dev/null
+++ b/internal/roles/dispatcher/delivery/actions.go
@@ -0,0 +1,122 @@
+package delivery
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"liftgauge/balance"
+	"liftgauge/internal/protocol"
+)
+
+// Send implements balance.Actions.
+func (s *service) Send(id balance.JobID, to balance.WorkerID, _ time.Duration) {
+	j, w := s.jobs[id], s.workers[to]
+	number := j.attempts
+	j.attempts++
+	j.out = true
+	if w == nil { // balance has it from an older list
+		s.engine.loop.post(func() { s.attempted(j, number, to, notRun(balance.Moot)) })
+		return
+	}
+	a := &attempt{message: j.Message, address: w.address, instance: w.instance, timeout: j.Timeout, permit: s.permit(j, w)}
+	s.engine.attempts.Add(1)
+	go func() {
+		defer s.engine.attempts.Done()
+		end := s.client.send(context.Background(), a)
+		s.engine.loop.post(func() { s.attempted(j, number, to, end) })
+	}()
+}
+
+// permit returns the check that is made right before the first byte for a worker.
+func (s *service) permit(j *job, w *worker) func() error {
+	paced, began, taken := s.pacer != nil, time.Now(), j.taken
+	return func() error {
+		if time.Since(taken) > jobStale {
+			return errJobStale
+		}
+		if paced && time.Since(began) > tokenStale {
+			return errTokenStale
+		}
+		return s.roster.check(w)
+	}
+}
+
+// attempted takes the end of an attempt.
+func (s *service) attempted(j *job, number int, to balance.WorkerID, end ending) {
+	now := s.engine.loop.now()
+	j.out = false
+	if end.stranger {
+		if w := s.workers[to]; w != nil && w.instance != "" {
+			s.strangers[w.instance] = true
+			s.refresh()
+		}
+	}
+	if s.Static != "" && unreachable(end.status) {
+		// There is no other to send to, and the stores' gates pace further tries: leaving it out here would only hold up its return.
+		end.status = balance.Moot
+	}
+	if end.Outcome != protocol.OutcomeNotRun || !end.elsewhere || s.pacer != nil || j.expired {
+		s.balance.Outcome(now, balance.Outcome{Job: j.id, Attempt: number, Worker: to, Status: end.status, Closed: true})
+		s.finish(j, end.Result)
+		return
+	}
+	j.last = end.Result
+	s.balance.Outcome(now, balance.Outcome{Job: j.id, Attempt: number, Worker: to, Status: end.status})
+	if j.expired && !j.out {
+		s.finish(j, j.last)
+	}
+}
+
+// unreachable tells whether an attempt met no worker that answers.
+func unreachable(status balance.Status) bool {
+	return status == balance.ConnectFailed || status == balance.Reset || status == balance.TimedOut || status == balance.Errored
+}
+
+// Refuse implements balance.Actions.
+func (s *service) Refuse(id balance.JobID, _ time.Duration) { s.Fail(id) }
+
+// Fail implements balance.Actions: the job finds no worker. One that is out goes on to its end.
+func (s *service) Fail(id balance.JobID) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.expired = true; !j.out {
+		s.finish(j, j.last)
+	}
+}
+
+// Cancel implements balance.Actions; nothing that is out is ever withdrawn.
+func (s *service) Cancel(balance.JobID, int) {}
+
+// Probe implements balance.Actions.
+func (s *service) Probe(id balance.WorkerID) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	path := s.HealthCheckPath
+	go func() {
+		status := s.client.probe(context.Background(), w.address, path, w.instance)
+		s.engine.loop.post(func() { s.balance.Probed(s.engine.loop.now(), id, status, nil) })
+	}()
+}
+
+// Timer implements balance.Actions.
+func (s *service) Timer(after time.Duration, token uint64) {
+	var alive func() bool
+	if id, ok := balance.JobOf(token); ok {
+		alive = func() bool { return s.jobs[id] != nil }
+	}
+	s.engine.loop.after(after, func() { s.balance.Timer(s.engine.loop.now(), token) }, alive)
+}
+
+// Watch implements balance.Actions; the list comes unasked.
+func (s *service) Watch() {}
+
+// Log implements balance.Actions.
+func (s *service) Log(line string) {
+	s.engine.options.Logger.Debug("balance", zap.String("service", s.Name), zap.String("line", line))
+}
--- /dev/null
+++ b/internal/roles/dispatcher/delivery/pacing.go
@@ -0,0 +1,46 @@
+package delivery
+
+import (
+	"time"
+
+	"liftgauge/internal/protocol"
+)
+
+// share is this dispatcher's part of the service's rate.
+func (s *service) share() float64 { return s.RatePerS / float64(max(1, s.Owners)) }
+
+// serveQueue sends what has a token, and gives back what has waited too long.
+func (s *service) serveQueue() {
+	now := s.engine.loop.now()
+	for len(s.queue) > 0 {
+		j := s.queue[0]
+		if now >= j.until || s.pacer == nil || !s.engine.mayPace() {
+			s.queue = s.queue[1:]
+			s.finish(j, Result{Outcome: protocol.OutcomeNotRun, Pause: pauseDown})
+			continue
+		}
+		wait, ok := s.pacer.take(now)
+		if !ok {
+			s.awaitToken(min(wait, j.until-now))
+			return
+		}
+		s.queue = s.queue[1:]
+		s.offer(j)
+		if !j.ended && !j.out { // it must not wait with its token: they would gather
+			s.balance.Release(now, j.id)
+			s.pacer.giveBack()
+			s.finish(j, Result{Outcome: protocol.OutcomeNotRun, Pause: pauseDown})
+		}
+	}
+}
+
+func (s *service) awaitToken(wait time.Duration) {
+	if s.queueTimer {
+		return
+	}
+	s.queueTimer = true
+	s.engine.loop.after(wait, func() {
+		s.queueTimer = false
+		s.serveQueue()
+	}, nil)
+}
--- a/internal/roles/dispatcher/delivery/service.go
+++ b/internal/roles/dispatcher/delivery/service.go
@@ -1,11 +1,8 @@
 package delivery
 
 import (
-	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"liftgauge/balance"
 	"liftgauge/internal/protocol"
 )
@@ -107,9 +104,6 @@
 	s.balance.Among(now, number, all, near)
 }
 
-// share is this dispatcher's part of the service's rate.
-func (s *service) share() float64 { return s.RatePerS / float64(max(1, s.Owners)) }
-
 // refresh gives the workers as they are now to balance and to the attempts under way.
 func (s *service) refresh() {
 	now := s.engine.loop.now()
@@ -160,42 +154,6 @@
 	s.balance.Job(s.engine.loop.now(), balance.Job{ID: j.id, Left: placeWithin, Slots: 1})
 }
 
-// serveQueue sends what has a token, and gives back what has waited too long.
-func (s *service) serveQueue() {
-	now := s.engine.loop.now()
-	for len(s.queue) > 0 {
-		j := s.queue[0]
-		if now >= j.until || s.pacer == nil || !s.engine.mayPace() {
-			s.queue = s.queue[1:]
-			s.finish(j, Result{Outcome: protocol.OutcomeNotRun, Pause: pauseDown})
-			continue
-		}
-		wait, ok := s.pacer.take(now)
-		if !ok {
-			s.awaitToken(min(wait, j.until-now))
-			return
-		}
-		s.queue = s.queue[1:]
-		s.offer(j)
-		if !j.ended && !j.out { // it must not wait with its token: they would gather
-			s.balance.Release(now, j.id)
-			s.pacer.giveBack()
-			s.finish(j, Result{Outcome: protocol.OutcomeNotRun, Pause: pauseDown})
-		}
-	}
-}
-
-func (s *service) awaitToken(wait time.Duration) {
-	if s.queueTimer {
-		return
-	}
-	s.queueTimer = true
-	s.engine.loop.after(wait, func() {
-		s.queueTimer = false
-		s.serveQueue()
-	}, nil)
-}
-
 // release gives back all that waits.
 func (s *service) release(pause time.Duration) {
 	back := Result{Outcome: protocol.OutcomeNotRun, Pause: pause}
@@ -222,114 +180,3 @@
 	delete(s.jobs, j.id)
 	j.Done(r)
 }
-
-// Send implements balance.Actions.
-func (s *service) Send(id balance.JobID, to balance.WorkerID, _ time.Duration) {
-	j, w := s.jobs[id], s.workers[to]
-	number := j.attempts
-	j.attempts++
-	j.out = true
-	if w == nil { // balance has it from an older list
-		s.engine.loop.post(func() { s.attempted(j, number, to, notRun(balance.Moot)) })
-		return
-	}
-	a := &attempt{message: j.Message, address: w.address, instance: w.instance, timeout: j.Timeout, permit: s.permit(j, w)}
-	s.engine.attempts.Add(1)
-	go func() {
-		defer s.engine.attempts.Done()
-		end := s.client.send(context.Background(), a)
-		s.engine.loop.post(func() { s.attempted(j, number, to, end) })
-	}()
-}
-
-// permit returns the check that is made right before the first byte for a worker.
-func (s *service) permit(j *job, w *worker) func() error {
-	paced, began, taken := s.pacer != nil, time.Now(), j.taken
-	return func() error {
-		if time.Since(taken) > jobStale {
-			return errJobStale
-		}
-		if paced && time.Since(began) > tokenStale {
-			return errTokenStale
-		}
-		return s.roster.check(w)
-	}
-}
-
-// attempted takes the end of an attempt.
-func (s *service) attempted(j *job, number int, to balance.WorkerID, end ending) {
-	now := s.engine.loop.now()
-	j.out = false
-	if end.stranger {
-		if w := s.workers[to]; w != nil && w.instance != "" {
-			s.strangers[w.instance] = true
-			s.refresh()
-		}
-	}
-	if s.Static != "" && unreachable(end.status) {
-		// There is no other to send to, and the stores' gates pace further tries: leaving it out here would only hold up its return.
-		end.status = balance.Moot
-	}
-	if end.Outcome != protocol.OutcomeNotRun || !end.elsewhere || s.pacer != nil || j.expired {
-		s.balance.Outcome(now, balance.Outcome{Job: j.id, Attempt: number, Worker: to, Status: end.status, Closed: true})
-		s.finish(j, end.Result)
-		return
-	}
-	j.last = end.Result
-	s.balance.Outcome(now, balance.Outcome{Job: j.id, Attempt: number, Worker: to, Status: end.status})
-	if j.expired && !j.out {
-		s.finish(j, j.last)
-	}
-}
-
-// unreachable tells whether an attempt met no worker that answers.
-func unreachable(status balance.Status) bool {
-	return status == balance.ConnectFailed || status == balance.Reset || status == balance.TimedOut || status == balance.Errored
-}
-
-// Refuse implements balance.Actions.
-func (s *service) Refuse(id balance.JobID, _ time.Duration) { s.Fail(id) }
-
-// Fail implements balance.Actions: the job finds no worker. One that is out goes on to its end.
-func (s *service) Fail(id balance.JobID) {
-	j := s.jobs[id]
-	if j == nil {
-		return
-	}
-	if j.expired = true; !j.out {
-		s.finish(j, j.last)
-	}
-}
-
-// Cancel implements balance.Actions; nothing that is out is ever withdrawn.
-func (s *service) Cancel(balance.JobID, int) {}
-
-// Probe implements balance.Actions.
-func (s *service) Probe(id balance.WorkerID) {
-	w := s.workers[id]
-	if w == nil {
-		return
-	}
-	path := s.HealthCheckPath
-	go func() {
-		status := s.client.probe(context.Background(), w.address, path, w.instance)
-		s.engine.loop.post(func() { s.balance.Probed(s.engine.loop.now(), id, status, nil) })
-	}()
-}
-
-// Timer implements balance.Actions.
-func (s *service) Timer(after time.Duration, token uint64) {
-	var alive func() bool
-	if id, ok := balance.JobOf(token); ok {
-		alive = func() bool { return s.jobs[id] != nil }
-	}
-	s.engine.loop.after(after, func() { s.balance.Timer(s.engine.loop.now(), token) }, alive)
-}
-
-// Watch implements balance.Actions; the list comes unasked.
-func (s *service) Watch() {}
-
-// Log implements balance.Actions.
-func (s *service) Log(line string) {
-	s.engine.options.Logger.Debug("balance", zap.String("service", s.Name), zap.String("line", line))
-}
