--- /dev/null
+++ b/sim/system/zonepower_test.go
@@ -0,0 +1,52 @@
+package system
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/protocol"
+)
+
+// TestStoresOfAZoneWithoutPower takes the power of all stores of a zone, more than FaultTolerance allows, where the copies of each partition lie in one zone:
+// messages without a key go to other zones meanwhile, and what was acknowledged is there and delivered once the zone is back.
+func TestStoresOfAZoneWithoutPower(t *testing.T) {
+	play(t, Options{Seed: 31, Stores: 6}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		var stores []*Process
+		for _, p := range w.inZone("zone-1") {
+			if p.Role == protocol.RoleStore {
+				stores = append(stores, p)
+			}
+		}
+		is.Equal(len(stores), 2)
+		var refused int
+		during(w, 14*time.Second, func() {
+			for _, p := range stores {
+				is.NoErr(p.LosePower())
+			}
+			time.Sleep(2 * time.Second) // sessions have ended
+			from := time.Now()
+			time.Sleep(4 * time.Second)
+			refused = w.Judge.notAccepted(plainRoute.Backend, from, time.Now())
+			is.NoErr(startEach(stores))
+			time.Sleep(seconds(bounds.CatchUpS))
+			is.True(w.whole(w.Net.Host(operatorIP)))
+		})
+		is.Equal(refused, 0)
+		is.Equal(w.Judge.Figures().Open, 0)
+	})
+}
+
+// notAccepted counts the tries for a service that were sent in a span and answered otherwise than with 202.
+func (j *Judge) notAccepted(service string, from, to time.Time) (count int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, m := range j.messages {
+		if m.service == service && m.sent.After(from) && m.sent.Before(to) && m.status != 0 && m.accepted.IsZero() {
+			count++
+		}
+	}
+	return count
+}
