--- a/sim/system/controllosses_test.go
+++ b/sim/system/controllosses_test.go
@@ -79,10 +79,10 @@
 // taken, rate-limited services are served and sessions stay meanwhile; after a loss of all power nothing is forgotten.
 func TestControlBearsLosses(t *testing.T) {
 	for _, o := range []Options{{Control: 3, Machines: 1}, {Control: 4, Machines: 1}, {Control: 5, Machines: 2}, {Control: 6, Machines: 2}} {
+		o.Seed, o.Edges, o.Stores = 23, 6, 4
 		for _, loss := range controlLosses {
 			t.Run(fmt.Sprintf("%s of %d, F %d", loss.name, o.Control, o.Machines), func(t *testing.T) {
 				t.Parallel()
-				o.Seed, o.Edges, o.Stores = 23, 6, 4
 				play(t, o, func(t *testing.T, w *World) { playControlLoss(t, w, loss) })
 			})
 		}
