Measure the fewest zones a partition needs from the roomiest zone on

It now asks the exact rule, of every partition and not only where all zones are large: no copy may have a store with room under the limit that would put the partition into fewer zones on no fewer machines.

That stricter rule showed a fault of the planner: the least cost that a partition is compared with was chosen greedily from the first store by name, so that a first zone with fewer stores than copies made all partitions look well placed. Partitions that had been spread stayed so. It begins with the roomiest zone now. Forced: TestSmallFirstZoneDoesNotSpreadCopies fails on the sources before.

Ruled out: the balancing of loads, which was not involved.

--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -127,11 +127,8 @@
 	}
 	least, most := min(len(all), m.copies), min(len(all), m.copies)
 	if m.shared {
-		counts := slices.Sorted(maps.Values(all))
-		least = zonesNeeded(counts, m.copies)
-		if counts[0] >= m.copies { // else the zone that a partition began in may have no room for all copies
-			most = 1
-		}
+		least = zonesNeeded(slices.Sorted(maps.Values(all)), m.copies)
+		m.checkNoZoneToSave(t, n, len(zones))
 	}
 	if len(zones) < least || len(zones) > most {
 		t.Fatalf("partition %d lies in %d zones of %d: %v", n, len(zones), len(all), members)
@@ -141,6 +138,64 @@
 	}
 }
 
+// checkNoZoneToSave checks that no copy of a partition could go to a store with room for it so that the partition lies in fewer zones, on no fewer
+// machines.
+func (m *model) checkNoZoneToSave(t *rapid.T, n, zones int) {
+	members := m.partitions[n].view.Members
+	nodes := m.nodesOf(members)
+	for at, from := range members {
+		for name, s := range m.stores {
+			if s.GoneFor > 0 || s.Retiring || slices.Contains(members, name) || m.load(name) >= m.loadLimit() {
+				continue
+			}
+			changed := slices.Clone(members)
+			changed[at] = name
+			if m.nodesOf(changed) >= nodes && m.zonesOf(changed) < zones {
+				t.Fatalf("partition %d lies in %d zones: %v; %s has room for the copy of %s", n, zones, members, name, from)
+			}
+		}
+	}
+}
+
+func (m *model) nodesOf(members []string) int {
+	nodes := map[string]bool{}
+	for _, name := range members {
+		nodes[nodeName(name)] = true
+	}
+	return len(nodes)
+}
+
+func (m *model) zonesOf(members []string) int {
+	zones := map[string]bool{}
+	for _, name := range members {
+		zones[m.stores[name].Zone] = true
+	}
+	return len(zones)
+}
+
+// load counts the copies that a store holds or is to get.
+func (m *model) load(store string) (copies int) {
+	for n := range m.partitions {
+		v := &m.partitions[n].view
+		if slices.Contains(v.Members, store) || slices.Contains(v.Learners, store) {
+			copies++
+		}
+	}
+	return copies
+}
+
+// loadLimit is the number of copies that a store may have more than the even share for the sake of fewer zones: half of it.
+func (m *model) loadLimit() int {
+	lasting := 0
+	for _, s := range m.stores {
+		if s.GoneFor == 0 && !s.Retiring {
+			lasting++
+		}
+	}
+	copies := m.copies * len(m.partitions)
+	return (3*copies + 2*lasting - 1) / (2 * lasting)
+}
+
 // zonesNeeded returns the fewest zones, of so many stores each in ascending order, that have room for all copies.
 func zonesNeeded(stores []int, copies int) (zones int) {
 	for _, count := range slices.Backward(stores) {
--- a/placement/separation.go
+++ b/placement/separation.go
@@ -73,10 +73,14 @@
 // leastCost returns the cost of a well separated set of copies on the stores that may be given something.
 func (s *state) leastCost() int {
 	var chosen []int
+	candidates := s.eligibleBy(func(int) int { return 0 })
+	if s.in.SharedZones {
+		candidates = s.roomiestZonesFirst(candidates)
+	}
 	for range s.in.Copies {
 		best, bestCost := none, 0
-		for i := range s.stores {
-			if !s.stores[i].eligible() || slices.Contains(chosen, i) {
+		for _, i := range candidates {
+			if slices.Contains(chosen, i) {
 				continue
 			}
 			if cost := s.costOf(i, chosen, none); best == none || cost < bestCost {
@@ -91,6 +95,24 @@
 	return s.totalCost(chosen)
 }
 
+// roomiestZonesFirst orders stores by the number of machines that their zones have among them, so that a choice that begins with the first needs the
+// fewest zones.
+func (s *state) roomiestZonesFirst(stores []int) []int {
+	type zone struct{ region, name string }
+	zoneOf := func(i int) zone { return zone{s.stores[i].Region, s.stores[i].Zone} }
+	machines := map[zone]map[string]bool{}
+	for _, i := range stores {
+		in := zoneOf(i)
+		if machines[in] == nil {
+			machines[in] = map[string]bool{}
+		}
+		machines[in][s.stores[i].node] = true
+	}
+	ordered := slices.Clone(stores)
+	slices.SortStableFunc(ordered, func(i, j int) int { return len(machines[zoneOf(j)]) - len(machines[zoneOf(i)]) })
+	return ordered
+}
+
 // leastUseful returns which of a partition's copies is to go when there are too many: one that cannot stay, else the one
 // without which the others are best separated, else the one on the fullest store. A learner goes before a member and a
 // member before the primary.
--- a/placement/sharedzones_test.go
+++ b/placement/sharedzones_test.go
@@ -175,3 +175,20 @@
 		})
 	}
 }
+
+// TestSmallFirstZoneDoesNotSpreadCopies has a first zone with fewer stores than copies beside zones with room for all: partitions that were spread before
+// end in one zone each.
+func TestSmallFirstZoneDoesNotSpreadCopies(t *testing.T) {
+	is := is.New(t)
+	in := Input{Stores: zonesOf(1, 3, 3), Copies: 3}
+	in.Partitions = FoundWith(in, 64)
+	in.SharedZones = true
+	settlePlan(t, &in)
+	for _, v := range in.Partitions {
+		zones := map[string]bool{}
+		for _, member := range v.Members {
+			zones[zoneOf(in.Stores, member)] = true
+		}
+		is.Equal(len(zones), 1)
+	}
+}
