Tell the primary of a partition when its view has changed

A table that takes a store out of a partition reaches that store and the learner, but not the primary: pushes go to four peers drawn at random, and whoever is missed hears by a digest some 100 to 300 ms later. The store that is out forgets the partition and answers nothing, so the primary's writes wait for it until the table comes. Ruled out: the disk, the links, lost datagrams (the model loses none) and the join of the new view, which took 3 ms.

Change: a store that takes a table in which a partition of its own has a new view sends its digest to the view's primary, together with others at most every 25 ms; the primary fetches what it lacks.

At 106 processes a push misses one in some 50 (e^-4) of each change, so the same delays failovers.

--- a/internal/agent/items.go
+++ b/internal/agent/items.go
@@ -46,6 +46,9 @@
 	news     []protocol.ItemKind // since the last push
 	pushedAt time.Duration
 	askedAt  map[string]time.Duration // when peers were asked for news, of the last askEvery
+
+	concerned   map[string]bool // addresses of processes that are to hear of the news here
+	concernedAt time.Duration   // when the last of them were told
 }
 
 func newItems(gossipEvery, now time.Duration) items {
@@ -53,15 +56,19 @@
 		state:  dissemination.NewState[protocol.ItemKind](),
 		pulls:  dissemination.NewPulls[protocol.ItemKind, string](),
 		gossip: dissemination.NewSchedule(gossipEvery, now), pushedAt: now - pushEvery,
-		askedAt: map[string]time.Duration{},
+		askedAt: map[string]time.Duration{}, concerned: map[string]bool{}, concernedAt: now - pushEvery,
 	}
 }
 
 func (i *items) nextWake() time.Duration {
+	next := i.gossip.Next()
 	if len(i.news) > 0 {
-		return min(i.gossip.Next(), i.pushedAt+pushEvery)
+		next = min(next, i.pushedAt+pushEvery)
+	}
+	if len(i.concerned) > 0 {
+		next = min(next, i.concernedAt+pushEvery)
 	}
-	return i.gossip.Next()
+	return next
 }
 
 // take offers items, whose bodies are packed, to the state and the view.
@@ -186,6 +193,9 @@
 			a.push(peer, news)
 		}
 	}
+	if len(a.items.concerned) > 0 && now >= a.items.concernedAt+pushEvery {
+		a.tellConcerned(now)
+	}
 	if a.items.gossip.Due(now) {
 		a.items.digests++
 		for _, peer := range a.choose(a.audience(), 1) {
@@ -258,6 +268,24 @@
 	return true
 }
 
+// TellOfNews has processes, by their internal addresses, hear within pushEvery of what is known here, so that they fetch what they lack. It is for those
+// that act by what has changed: a push goes to peers drawn at random, and misses each of the others now and then. It does not wait.
+func (a *Agent) TellOfNews(addresses []string) {
+	a.loop.post(func() {
+		for _, address := range addresses {
+			a.items.concerned[address] = true
+		}
+	})
+}
+
+func (a *Agent) tellConcerned(now time.Duration) {
+	for _, address := range slices.Sorted(maps.Keys(a.items.concerned)) {
+		a.sendDigest(address, true)
+	}
+	clear(a.items.concerned)
+	a.items.concernedAt = now
+}
+
 func (a *Agent) sendDigest(peer string, answer bool) {
 	d := a.Digest()
 	d.Answer = answer
--- a/internal/roles/store/table.go
+++ b/internal/roles/store/table.go
@@ -22,20 +22,39 @@
 	if first {
 		s.grants.raiseAll(version)
 	}
-	successors := map[string]bool{}
+	successors, others := map[string]bool{}, map[string]bool{}
 	for index := range view.Partitions.Partitions {
 		v := &view.Partitions.Partitions[index]
-		if p := s.partitions[v.Partition]; p != nil && p.leading && v.Primary != s.member {
+		p := s.partitions[v.Partition]
+		if p != nil && p.leading && v.Primary != s.member {
 			successors[v.Primary] = true
 		}
+		if v.Primary != s.member && (v.Names(s.member) || p != nil) && (p == nil || v.Epoch > p.view.Epoch) {
+			others[v.Primary] = true
+		}
 		s.takeView(v, version)
 	}
+	s.tellPrimaries(view, others)
 	s.syncPeers()
 	for member := range successors {
 		s.askLease(s.now(), s.peer(member)) // tells it that this store acts by the new table
 	}
 }
 
+// tellPrimaries has the primaries of changed partitions hear of the table: a primary that does not know its view yet waits for members that have left
+// it, and takes nothing over.
+func (s *store) tellPrimaries(view *agent.View, members map[string]bool) {
+	var addresses []string
+	for member := range members {
+		if node, found := view.NodeByMember(member); found {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	if len(addresses) > 0 {
+		s.agent.TellOfNews(addresses)
+	}
+}
+
 // takeView installs the view of one partition if it is newer than what is known.
 func (s *store) takeView(v *protocol.PartitionView, version protocol.ItemVersion) {
 	p := s.partitions[v.Partition]
--- /dev/null
+++ b/sim/system/lostpush_test.go
@@ -0,0 +1,44 @@
+package system
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/protocol"
+	"liftgauge/internal/rpc"
+)
+
+// itemsDatagram tells whether a datagram is a push of items: after magic and checksum stands its kind.
+func itemsDatagram(datagram []byte) bool {
+	const kindAt = 8
+	return rpc.Kind(binary.LittleEndian.Uint16(datagram[kindAt:])) == protocol.KindItems
+}
+
+// TestPrimaryThatPushesMissHearsOfItsViews loses all pushes to one store, as the random choice of their targets does now and then, and all digests to it
+// but those of stores. Another store is lost and returns, and gets partitions that the first one leads: it has to hear of their views from the stores
+// that share them, or its clients wait for a store that has left the partition.
+func TestPrimaryThatPushesMissHearsOfItsViews(t *testing.T) {
+	const (
+		missed         = "10.0.3.2"
+		ordinaryAccept = 30 * time.Millisecond // five times what one takes here
+	)
+	stores := map[string]bool{"10.0.1.2": true, "10.0.2.2": true}
+	o := Options{Seed: 22}
+	o.Net.Lose = func(from, to string, datagram []byte) bool {
+		return to == missed && (itemsDatagram(datagram) || !stores[from])
+	}
+	play(t, o, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		var back time.Time
+		during(w, 11*time.Second, func() {
+			is.NoErr(backAfter(2*time.Second, (*Process).Kill, w.Of(protocol.RoleStore)[1]))
+			back = time.Now()
+		})
+		slowest := w.Judge.slowestAccept(back)
+		t.Logf("slowest 202 after the store was back: %v", slowest)
+		is.True(slowest < ordinaryAccept)
+	})
+}
--- a/sim/system/recovery.go
+++ b/sim/system/recovery.go
@@ -101,3 +101,15 @@
 		time.Sleep(wholePoll / 2)
 	}
 }
+
+// slowestAccept is the longest time to the 202 of a message that was sent after a moment.
+func (j *Judge) slowestAccept(after time.Time) (slowest time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, m := range j.messages {
+		if m.sent.After(after) && !m.accepted.IsZero() {
+			slowest = max(slowest, m.accepted.Sub(m.sent))
+		}
+	}
+	return slowest
+}
--- a/sim/system/virtualnet/net.go
+++ b/sim/system/virtualnet/net.go
@@ -27,6 +27,8 @@
 	Delay, Spread time.Duration
 	// Loss is the part of datagrams that is lost.
 	Loss float64
+	// Lose tells of a datagram whether it is lost, beside those drawn by Loss, if it is not nil.
+	Lose func(from, to string, datagram []byte) bool
 	// Frame changes each frame of the system's own protocol (header and body) on its way, if it is not nil.
 	Frame func(from, to string, frame []byte) []byte
 }
