--- a/lab/sitevariant/changes.go
+++ b/lab/sitevariant/changes.go
@@ -49,11 +49,7 @@
 
 func distant(s site) {
 	subtable(s, "net")["cross_zone_ms"] = 6.0
-	for _, machine := range tables(s, "machines") {
-		if disk := subtable(machine, "disk"); len(disk) > 0 {
-			disk["sync_ms"] = 4.0
-		}
-	}
+	setSync(s, 4)
 }
 
 func oneService(s site) {
@@ -172,4 +168,48 @@
 	}
 }
 
+func fastDisks(s site) { setSync(s, 1) }
+
+func slowDisks(s site) { setSync(s, 12) }
+
+func setSync(s site, milliseconds float64) {
+	for _, machine := range tables(s, "machines") {
+		if disk := subtable(machine, "disk"); len(disk) > 0 {
+			disk["sync_ms"] = milliseconds
+		}
+	}
+}
+
+func halfDispatchers(s site) { scaleDispatchers(s, 0.5) }
+
+func twiceDispatchers(s site) { scaleDispatchers(s, 2) }
+
+// scaleDispatchers changes how many front machines without a disk there are.
+func scaleDispatchers(s site, factor float64) {
+	for _, machine := range tables(s, "machines") {
+		if machine["class"] == "front" && machine["counted"] != true {
+			scale(machine, factor, "count", "spare")
+		}
+	}
+}
+
+// machineLosses are the kinds of trouble whose count is of machines that are lost for a while or for good.
+var machineLosses = []any{"node_kill", "core_cut", "after_ack_wipe", "wipe_after_ack", "node_slow"}
+
+func oneLoss(s site) {
+	subtable(s, "tolerate")["machines"] = int64(1)
+	atMostOne := func(troubles []site) {
+		for _, trouble := range troubles {
+			if _, counted := trouble["count"]; counted && slices.Contains(machineLosses, trouble["kind"]) {
+				trouble["count"] = int64(1)
+			}
+		}
+	}
+	atMostOne(tables(s, "troubles"))
+	for _, day := range tables(s, "day") {
+		atMostOne(tables(day, "plan"))
+		atMostOne(tables(day, "faults"))
+	}
+}
+
 func longDay(s site) { s["length_s"] = 90.0 }
--- a/lab/sitevariant/sitevariant.go
+++ b/lab/sitevariant/sitevariant.go
@@ -36,6 +36,11 @@
 		{"two-stores-a-zone", "two store machines in each zone, two machines may be lost", twoStoresAZone},
 		{"three-zones", "the last zone is left out", threeZones},
 		{"small-disks", "store disks hold 40 MB", smallDisks},
+		{"fast-disks", "a sync takes 1 ms", fastDisks},
+		{"slow-disks", "a sync takes 12 ms", slowDisks},
+		{"half-dispatchers", "half of the machines that only dispatch", halfDispatchers},
+		{"twice-dispatchers", "twice the machines that only dispatch", twiceDispatchers},
+		{"one-loss", "one machine may be lost, and no trouble takes two", oneLoss},
 		{"long-day", "traffic for 90 s", longDay},
 	}
 }
--- a/lab/sitevariant/sitevariant_test.go
+++ b/lab/sitevariant/sitevariant_test.go
@@ -13,9 +13,10 @@
 length_s = 30.0
 zones = [{ name = "a" }, { name = "b" }]
 machines = [
-  { class = "front", zone = "a", count = 1, counted = true, disk = { mb = 64, sync_ms = 1 } },
-  { class = "store", zone = "a", count = 1, disk = { mb = 360, sync_ms = 1.0 } },
-  { class = "store", zone = "b", count = 1, disk = { mb = 360, sync_ms = 1.0 } },
+  { class = "front", zone = "a", count = 1, counted = true, disk = { mb = 64, sync_ms = 2.0 } },
+  { class = "front", zone = "a", count = 8, spare = 2 },
+  { class = "store", zone = "a", count = 1, disk = { mb = 360, sync_ms = 2.0 } },
+  { class = "store", zone = "b", count = 1, disk = { mb = 360, sync_ms = 2.0 } },
 ]
 services = [
   { name = "one", slots = 9, queue = 36, servers = [{ zone = "a", count = 3 }, { zone = "b", count = 3 }] },
@@ -26,7 +27,7 @@
   { name = "y", service = "two", timeout_ms = 1000, req_bytes = { mean = 100.0 } },
 ]
 traffic = [{ zone = "a", per_s = 10.0, mix = { x = 1, y = 1 } }, { zone = "b", per_s = 10.0, mix = { x = 1, y = 1 } }]
-troubles = [{ kind = "poison", class = "y" }, { kind = "srv_crash", service = "one" }]
+troubles = [{ kind = "poison", class = "y" }, { kind = "srv_crash", service = "one" }, { kind = "node_kill", on = "store", count = 2 }]
 [net]
 cross_zone_ms = 0.9
 [tolerate]
@@ -67,7 +68,7 @@
 	is := is.New(t)
 	s := changed(t, "one-service")
 	is.Equal(len(tables(s, "services")), 1)
-	is.Equal(len(tables(s, "troubles")), 1)
+	is.Equal(len(tables(s, "troubles")), 2) // a crash of its workers and one of a store; not the poison of the other
 	day := tables(s, "day")[0]
 	is.Equal(len(tables(day, "faults")), 0)
 	is.Equal(len(subtable(tables(day, "traffic")[0], "mix")), 1)
@@ -77,7 +78,7 @@
 	is := is.New(t)
 	s := changed(t, "three-zones")
 	is.Equal(len(tables(s, "zones")), 1)
-	is.Equal(len(tables(s, "machines")), 2)
+	is.Equal(len(tables(s, "machines")), 3)
 	is.Equal(len(tables(s, "traffic")), 1)
 }
 
@@ -88,6 +89,22 @@
 	is.Equal(storeMachines(s)[0]["count"], int64(2))
 }
 
+func TestDispatchersAreScaledAndControlIsNot(t *testing.T) {
+	is := is.New(t)
+	for name, count := range map[string]int64{"half-dispatchers": 4, "twice-dispatchers": 16} {
+		machines := tables(changed(t, name), "machines")
+		is.Equal(machines[0]["count"], int64(1))
+		is.Equal(machines[1]["count"], count)
+	}
+}
+
+func TestOneLossTakesOneMachineAtATime(t *testing.T) {
+	is := is.New(t)
+	s := changed(t, "one-loss")
+	is.Equal(subtable(s, "tolerate")["machines"], int64(1))
+	is.Equal(tables(s, "troubles")[2]["count"], int64(1))
+}
+
 func TestWriteTakesTheWireAlong(t *testing.T) {
 	is := is.New(t)
 	source := t.TempDir()
