--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -352,6 +352,30 @@
 	await(late, hasConfiguration("newer"))
 }
 
+// TestPeerIsToldOfNews: long before the next digest is due, a process that concerns what is known here hears of it.
+func TestPeerIsToldOfNews(t *testing.T) {
+	control := startControl(t, ownAddress())
+	settings := settingsOf(t, "n", control.server.Addr())
+	_ = control.server.Close()
+	knowing := start(t, Options{Settings: settings, GossipEvery: time.Hour})
+	knowing.Publish(configuration(3, "newer"))
+	await(knowing, hasConfiguration("newer"))
+	late := start(t, Options{Settings: settings, GossipEvery: time.Hour})
+	knowing.TellOfNews([]string{late.Node().Address})
+	await(late, hasConfiguration("newer"))
+}
+
+func TestProcessesThatNewsConcernsAreToldTogether(t *testing.T) {
+	is := is.New(t)
+	i := newItems(time.Hour, 0)
+	is.True(i.gossip.Due(0))
+	is.Equal(i.nextWake(), i.gossip.Next())
+	i.concerned["a"] = true
+	is.Equal(i.nextWake(), time.Duration(0)) // the first at once
+	i.concernedAt = time.Second
+	is.Equal(i.nextWake(), time.Second+pushEvery) // what comes within pushEvery goes together
+}
+
 func TestPeersAreNotAskedForNewsTooOften(t *testing.T) {
 	is := is.New(t)
 	i := newItems(time.Hour, 0)
