Tell dispatchers how long workers are cold, and call the platform in one place

Cause: control published ColdFor from a field that the reader of the list sets to 0 (it keeps the moment instead), so no dispatcher ever heard of a cold worker by control's list; only a list that a dispatcher read itself told it. Found while joining the two copies of the platform's call and of the list's conversion, of which one was right.

internal/instances has both now.

--- /dev/null
+++ b/internal/instances/instances.go
@@ -0,0 +1,58 @@
+// Package instances calls the platform's list of workers, and writes it in the form in which processes tell each other of it.
+package instances
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"liftgauge/internal/protocol"
+	"liftgauge/workerlist"
+)
+
+const (
+	// CallTimeout bounds one call to the platform.
+	CallTimeout = time.Second
+	// largestPage is how many bytes of one answer are read.
+	largestPage = 8 << 20
+	path        = "/instances"
+	tokenQuery  = "PageToken"
+)
+
+// Fetch asks the platform at an address, host and port, for the page of a token; an empty token is that of the first page.
+func Fetch(ctx context.Context, client *http.Client, address, token string) (status int, body []byte, err error) {
+	target := url.URL{Scheme: "http", Host: address, Path: path}
+	if token != "" {
+		target.RawQuery = url.Values{tokenQuery: {token}}.Encode()
+	}
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "CloudApi.Address makes no URL: correct it in the settings")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(response.Body, largestPage))
+	return response.StatusCode, body, err
+}
+
+// Entries returns the workers of a list as they were when it was read.
+func Entries(list *workerlist.List) []protocol.Worker {
+	entries := make([]protocol.Worker, 0, len(list.Workers))
+	for i := range list.Workers {
+		w := &list.Workers[i]
+		entries = append(entries, protocol.Worker{
+			ID: w.ID, Service: w.Service, Address: w.Address, Zone: w.Zone, Revision: w.Revision,
+			Capacity: uint32(max(w.Capacity, 0)), Draining: w.Draining, ColdFor: max(0, w.ColdUntil-list.ReadAt),
+		})
+	}
+	return entries
+}
--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -2,23 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/url"
-	"time"
 
 	"go.uber.org/zap"
 
+	"liftgauge/internal/instances"
 	"liftgauge/internal/network"
 	"liftgauge/internal/protocol"
 	"liftgauge/workerlist"
 )
 
-const (
-	listTimeout  = time.Second // of one call to the platform
-	mostPageSize = 8 << 20     // bytes of one answer
-)
-
 // listReader polls the platform's list of workers while this process has the duty. It belongs to the event loop; calls are made on
 // goroutines of their own, one at a time.
 type listReader struct {
@@ -31,7 +24,7 @@
 }
 
 func newListReader(d *daemon) listReader {
-	return listReader{daemon: d, client: network.Client(d.environment.Network, listTimeout)}
+	return listReader{daemon: d, client: network.Client(d.environment.Network, instances.CallTimeout)}
 }
 
 // begin starts the duty of a term.
@@ -69,30 +62,10 @@
 
 // call asks for one page; it runs on a goroutine of its own.
 func (r *listReader) call(term uint64, address string, request workerlist.Request) {
-	status, body, err := fetchPage(r.client, address, request.PageToken)
+	status, body, err := instances.Fetch(context.Background(), r.client, address, request.PageToken)
 	r.daemon.loop.post(func() { r.answered(term, request, status, body, err) })
 }
 
-func fetchPage(client *http.Client, address, token string) (status int, body []byte, err error) {
-	target := url.URL{Scheme: "http", Host: address, Path: "/instances"}
-	if token != "" {
-		target.RawQuery = url.Values{"PageToken": {token}}.Encode()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer response.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(response.Body, mostPageSize))
-	return response.StatusCode, body, err
-}
-
 func (r *listReader) answered(term uint64, request workerlist.Request, status int, body []byte, err error) {
 	if !r.mayRead(term) {
 		return
@@ -121,13 +94,7 @@
 		a.PublishFresh(protocol.WorkersFresh{Version: r.published, ReadAt: readAt})
 		return
 	}
-	workers := protocol.Workers{ReadAt: readAt, Workers: make([]protocol.Worker, 0, len(list.Workers))}
-	for _, w := range list.Workers {
-		workers.Workers = append(workers.Workers, protocol.Worker{
-			ID: w.ID, Service: w.Service, Address: w.Address, Zone: w.Zone, Revision: w.Revision,
-			Capacity: uint32(max(w.Capacity, 0)), Draining: w.Draining, ColdFor: w.ColdRemaining,
-		})
-	}
+	workers := protocol.Workers{ReadAt: readAt, Workers: instances.Entries(&list)}
 	r.published = protocol.ItemVersion{Term: r.term, Number: r.published.Number + 1}
 	a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: r.published, Body: workers.Append(nil)})
 }
--- a/internal/roles/dispatcher/list.go
+++ b/internal/roles/dispatcher/list.go
@@ -2,24 +2,20 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/url"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"liftgauge/internal/instances"
 	"liftgauge/internal/network"
 	"liftgauge/internal/protocol"
 	"liftgauge/workerlist"
 )
 
 const (
-	listCheck   = 500 * time.Millisecond // between looks at the age of the list
-	listTimeout = time.Second            // of one call to the platform
-	listStale   = 2                      // the list is read here once it is older than this part of DrainMs
-	mostPage    = 8 << 20                // bytes of one answer
+	listCheck = 500 * time.Millisecond // between looks at the age of the list
+	listStale = 2                      // the list is read here once it is older than this part of DrainMs
 )
 
 // ownReader reads the platform's list while nobody else's reading arrives.
@@ -35,7 +31,7 @@
 	if d.settings.CloudApi.Address == "" {
 		return
 	}
-	o := &ownReader{dispatcher: d, client: network.Client(d.network, listTimeout)}
+	o := &ownReader{dispatcher: d, client: network.Client(d.network, instances.CallTimeout)}
 	for {
 		pause(ctx, listCheck)
 		if ctx.Err() != nil {
@@ -85,7 +81,7 @@
 // page asks for one page. It is true once the list is whole, or the platform does not answer.
 func (o *ownReader) page(ctx context.Context, request workerlist.Request) bool {
 	d := o.dispatcher
-	status, body, err := o.fetch(ctx, request.PageToken)
+	status, body, err := instances.Fetch(ctx, o.client, d.settings.CloudApi.Address, request.PageToken)
 	now := d.agent.Steady()
 	if err != nil {
 		o.reader.Fail(now, request)
@@ -99,37 +95,7 @@
 	if complete {
 		o.readings++
 		list := o.reader.List()
-		d.directory.ReadWorkers(listed(&list, now), protocol.ItemVersion{Number: o.readings}, list.ReadAt)
+		d.directory.ReadWorkers(instances.Entries(&list), protocol.ItemVersion{Number: o.readings}, list.ReadAt)
 	}
 	return complete
 }
-
-// listed is a reading in the form in which it is known to everybody.
-func listed(list *workerlist.List, now time.Duration) []protocol.Worker {
-	workers := make([]protocol.Worker, 0, len(list.Workers))
-	for i := range list.Workers {
-		w := &list.Workers[i]
-		workers = append(workers, protocol.Worker{ID: w.ID, Service: w.Service, Address: w.Address, Zone: w.Zone, Revision: w.Revision,
-			Capacity: uint32(max(0, w.Capacity)), Draining: w.Draining, ColdFor: max(0, w.ColdUntil-now)})
-	}
-	return workers
-}
-
-// fetch gets one page.
-func (o *ownReader) fetch(ctx context.Context, token string) (status int, body []byte, err error) {
-	target := url.URL{Scheme: "http", Host: o.dispatcher.settings.CloudApi.Address, Path: "/instances"}
-	if token != "" {
-		target.RawQuery = url.Values{"PageToken": {token}}.Encode()
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "dispatcher: CloudApi.Address makes no URL: correct it in the settings")
-	}
-	response, err := o.client.Do(request)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer response.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(response.Body, mostPage))
-	return response.StatusCode, body, err
-}
