Take out the smaller share of cold workers, which nobody ever got

A cold worker is slower, not smaller: fewer jobs at once only leave it idle.

Conclusion: the mechanism goes, with constant, state and timers; what remains acts as the system did all the time, since no dispatcher had ever heard of a cold worker. The rule of the ordinary path in balance is another and stays.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -352,19 +352,6 @@
 	await(late, hasConfiguration("newer"))
 }
 
-// TestWorkersGetWarmWhileTheirListIsOld: who hears of a list long after it was read takes that time off what it says of cold workers.
-func TestWorkersGetWarmWhileTheirListIsOld(t *testing.T) {
-	is := is.New(t)
-	control := startControl(t, ownAddress())
-	a := start(t, Options{Settings: settingsOf(t, "n", control.server.Addr())})
-	readAt := a.ClusterTime().Add(-10 * time.Second).UnixNano()
-	list := protocol.Workers{ReadAt: readAt, Workers: []protocol.Worker{{ID: "cold", ColdFor: time.Minute}, {ID: "warm", ColdFor: 9 * time.Second}}}
-	a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: version(1, 1), Body: list.Append(nil)})
-	await(a, func(v *View) bool { return len(v.Workers.Workers) == 2 && v.Workers.Workers[1].ColdFor == 0 })
-	cold := a.View().Workers.Workers[0].ColdFor
-	is.True(cold > 0 && cold <= 50*time.Second)
-}
-
 // TestPeerIsToldOfNews: long before the next digest is due, a process that concerns what is known here hears of it.
 func TestPeerIsToldOfNews(t *testing.T) {
 	control := startControl(t, ownAddress())
--- a/internal/agent/items.go
+++ b/internal/agent/items.go
@@ -116,28 +116,9 @@
 	case protocol.ItemWorkers:
 		a.takeFresh(protocol.WorkersFresh{Version: view.WorkersVersion, ReadAt: view.Workers.ReadAt})
 		a.readAt(a.View().Fresh)
-		a.ageCold()
 	}
 }
 
-// ageCold takes the time since the list was published off the times for which its workers are still cold: the item of a process that has just started
-// may be old, as a list is published when it changes and not when a worker has become warm.
-func (a *Agent) ageCold() {
-	view := a.View()
-	age := a.Steady() - a.clock.steadyAt(view.Workers.ReadAt)
-	isCold := func(w protocol.Worker) bool { return w.ColdFor > 0 }
-	if age <= 0 || !slices.ContainsFunc(view.Workers.Workers, isCold) {
-		return
-	}
-	next := *view
-	next.Workers.Workers = slices.Clone(view.Workers.Workers)
-	for i := range next.Workers.Workers {
-		w := &next.Workers.Workers[i]
-		w.ColdFor = max(0, w.ColdFor-age)
-	}
-	a.view.Store(&next)
-}
-
 // takeFresh notes a reading of the list of workers, and says whether it is news.
 func (a *Agent) takeFresh(fresh protocol.WorkersFresh) bool {
 	known := a.View().Fresh
--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -44,14 +44,14 @@
 	return response.StatusCode, body, err
 }
 
-// Entries returns the workers of a list as they were when it was read.
+// Entries returns the workers of a list. That a worker is slow from its start is not told: dispatchers do not send less to it.
 func Entries(list *workerlist.List) []protocol.Worker {
 	entries := make([]protocol.Worker, 0, len(list.Workers))
 	for i := range list.Workers {
 		w := &list.Workers[i]
 		entries = append(entries, protocol.Worker{
 			ID: w.ID, Service: w.Service, Address: w.Address, Zone: w.Zone, Revision: w.Revision,
-			Capacity: uint32(max(w.Capacity, 0)), Draining: w.Draining, ColdFor: max(0, w.ColdUntil-list.ReadAt),
+			Capacity: uint32(max(w.Capacity, 0)), Draining: w.Draining,
 		})
 	}
 	return entries
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -31,9 +31,7 @@
 	is.True(err != nil)
 }
 
-// TestEntriesTellHowLongWorkersAreCold reads a list as both of its readers do: what the platform says of a cold worker is kept by the reader as the
-// moment at which it ends.
-func TestEntriesTellHowLongWorkersAreCold(t *testing.T) {
+func TestEntriesAreTheWorkersOfTheList(t *testing.T) {
 	is := is.New(t)
 	const began = 7 * time.Second
 	reader := workerlist.NewReader(workerlist.Options{})
@@ -46,7 +44,7 @@
 	is.True(complete && changed)
 	list := reader.List()
 	is.Equal(Entries(&list), []protocol.Worker{
-		{ID: "a", Service: "b", Address: "h:1", Zone: "z", Revision: "v", Capacity: 3, Draining: true, ColdFor: 1500 * time.Millisecond},
+		{ID: "a", Service: "b", Address: "h:1", Zone: "z", Revision: "v", Capacity: 3, Draining: true},
 		{ID: "w", Service: "b", Address: "h:2", Zone: "z", Capacity: 6},
 	})
 }
--- a/internal/protocol/item.go
+++ b/internal/protocol/item.go
@@ -111,7 +111,7 @@
 	Revision string
 	Capacity uint32
 	Draining bool
-	ColdFor  time.Duration // at the time of reading
+	ColdFor  time.Duration // not told by this version, and passed over; its place in the frame stays
 }
 
 // Workers is the body of an ItemWorkers item.
--- a/internal/roles/dispatcher/delivery/service.go
+++ b/internal/roles/dispatcher/delivery/service.go
@@ -40,7 +40,6 @@
 	listed     []protocol.Worker
 	seen       State // without its slices: what update went by
 	strangers  map[string]bool
-	coldUntil  map[string]time.Duration
 	jobs       map[balance.JobID]*job
 	pacer      *pacer // nil without a rate
 	queue      []*job // in wait for a token
@@ -51,7 +50,7 @@
 
 func newService(e *Engine, settings Service) *service {
 	s := &service{Service: settings, engine: e, client: newClient(e.options.Dial), workers: map[balance.WorkerID]*worker{},
-		numbers: newNumbering(), strangers: map[string]bool{}, coldUntil: map[string]time.Duration{}, jobs: map[balance.JobID]*job{}}
+		numbers: newNumbering(), strangers: map[string]bool{}, jobs: map[balance.JobID]*job{}}
 	aim := settings.Aim
 	if aim <= 0 {
 		aim = usualAim
@@ -108,30 +107,13 @@
 func (s *service) refresh() {
 	now := s.engine.loop.now()
 	f := fleet{service: &s.Service, listed: s.listed, dispatchers: s.engine.state.Dispatchers, ownZone: s.engine.zone,
-		zones: s.engine.zones, numbers: s.numbers, strangers: s.strangers,
-		cold: func(w *protocol.Worker) bool { return s.cold(now, w) }}
+		zones: s.engine.zones, numbers: s.numbers, strangers: s.strangers}
 	if s.removed {
 		f.listed, f.service = nil, &Service{}
 	}
 	s.workers = f.workers()
 	s.roster.set(s.workers) // before anything is sent by the new list
 	s.balance.List(now, balance.ListFull, entriesOf(s.workers))
-	for id := range s.coldUntil {
-		if _, known := s.numbers.numbers[id]; !known {
-			delete(s.coldUntil, id)
-		}
-	}
-}
-
-// cold tells whether a worker is still slow from its start; the list says so only at times.
-func (s *service) cold(now time.Duration, w *protocol.Worker) bool {
-	until, known := s.coldUntil[w.ID]
-	if !known && w.ColdFor > 0 {
-		until = now + w.ColdFor
-		s.coldUntil[w.ID] = until
-		s.engine.loop.after(w.ColdFor, s.refresh, nil)
-	}
-	return now < until
 }
 
 // take begins a job.
--- a/internal/roles/dispatcher/delivery/workers.go
+++ b/internal/roles/dispatcher/delivery/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync/atomic"
 
@@ -18,7 +17,6 @@
 	fullShare       = 0.97 // of them, where a change of the number of dispatchers would cost connections
 	staticShare     = 0.6  // of a single endpoint's connections, for jobs at the same time
 	mostStaticSlots = 16   // jobs at the same time at a single endpoint, which tells no capacity
-	coldShare       = 0.5  // of a worker's capacity that is used while it is still slow from its start
 )
 
 var errNotListed = errors.New("delivery: the worker is draining or gone: send the message to another")
@@ -117,11 +115,8 @@
 }
 
 // slotsOf is how many jobs a listed worker gets at the same time.
-func slotsOf(capacity uint32, cold bool, limit int) float64 {
+func slotsOf(capacity uint32, limit int) float64 {
 	slots := float64(max(1, capacity))
-	if cold {
-		slots = max(1, math.Floor(slots*coldShare))
-	}
 	if limit > 0 {
 		slots = min(slots, float64(limit))
 	}
@@ -149,7 +144,6 @@
 	zones       map[string]int
 	numbers     *numbering
 	strangers   map[string]bool // instances whose address answered as another
-	cold        func(w *protocol.Worker) bool
 }
 
 // workers makes the workers of a service.
@@ -169,7 +163,7 @@
 		if f.strangers[w.ID] {
 			continue
 		}
-		id, slots := f.numbers.of(w.ID), slotsOf(w.Capacity, f.cold(w), limit)
+		id, slots := f.numbers.of(w.ID), slotsOf(w.Capacity, limit)
 		entry := balance.Worker{ID: id, Zone: f.zones[w.Zone], Weight: slots, Slots: slots}
 		if w.Draining {
 			entry.State = balance.Draining
--- a/lab/ablation/ablation_test.go
+++ b/lab/ablation/ablation_test.go
@@ -32,7 +32,7 @@
 
 func TestWrite(t *testing.T) {
 	is := is.New(t)
-	m, err := Named("cold-share")
+	m, err := Named("overcommit")
 	is.NoErr(err)
 	to := t.TempDir()
 	is.NoErr(m.Write(root, to))
--- a/lab/ablation/mechanisms.go
+++ b/lab/ablation/mechanisms.go
@@ -15,8 +15,6 @@
 		"return w.down || now < w.outTill && (w.cut || !drown)", "return w.down || false && drown")},
 	{"own-zone-workers", "sends to workers of the own zone first", edit("internal/roles/dispatcher/delivery/service.go",
 		"foreignZoneFee    = 0.1", "foreignZoneFee    = 0.0")},
-	{"cold-share", "sends less to a worker that is slow from its start", edit("internal/roles/dispatcher/delivery/workers.go",
-		"coldShare       = 0.5", "coldShare       = 1.0")},
 	{"offer-elsewhere", "offers what a worker did not run to others before it is given back", edit("internal/roles/dispatcher/delivery/service.go",
 		"attemptsElsewhere = 4", "attemptsElsewhere = 1")},
 	{"pause-no-room", "holds back for 100 ms what no worker had room for", edit("internal/roles/dispatcher/delivery/delivery.go",
