--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -8,15 +8,10 @@
 
 	"liftgauge/internal/instances"
 	"liftgauge/internal/network"
-	"liftgauge/internal/nodeconfig"
 	"liftgauge/internal/protocol"
 	"liftgauge/workerlist"
 )
 
-// listReadings is how often the list is read within DrainMs: what drains is known in time though a reading or two fail and their word takes its time.
-// Calls to the platform cost.
-const listReadings = 5
-
 // listReader polls the platform's list of workers while this process has the duty. It belongs to the event loop; calls are made on
 // goroutines of their own, one at a time.
 type listReader struct {
@@ -39,15 +34,10 @@
 	}
 	r.daemon.logger.Info("control: reading the platform's list", zap.Uint64("term", term))
 	r.term, r.stopped, r.published = term, false, protocol.ItemVersion{}
-	r.reader = workerlist.NewReader(readerOptions(r.daemon.settings))
+	r.reader = workerlist.NewReader(workerlist.Options{RatePerS: r.daemon.settings.CloudApi.RatePerS})
 	r.step(term)
 }
 
-// readerOptions are how often a deployment's list is read.
-func readerOptions(settings *nodeconfig.Settings) workerlist.Options {
-	return workerlist.Options{RatePerS: settings.CloudApi.RatePerS, Interval: settings.Bounds.Drain() / listReadings}
-}
-
 // stop ends the duty.
 func (r *listReader) stop() { r.stopped = true }
 
--- a/lab/ablation/mechanisms.go
+++ b/lab/ablation/mechanisms.go
@@ -67,8 +67,8 @@
 		"\t\tif i == none {\n\t\t\ti = s.unreachedCandidate(p, members, learners)\n\t\t}\n", "")},
 	{"own-reading-of-list", "has a dispatcher read the list of workers itself when the known one is old", edit("internal/roles/dispatcher/list.go",
 		"if d.settings.CloudApi.Address == \"\" {", "if d.settings.CloudApi.Address != \"\" {")},
-	{"quick-list", "reads the list of workers five times within DrainMs, not twice", edit("internal/roles/control/reader.go",
-		"const listReadings = 5", "const listReadings = 2")},
+	{"quick-list", "reads the list of workers every 0.4 s, not every second", edit("workerlist/reader.go",
+		"DefaultInterval = 400 * time.Millisecond", "DefaultInterval = time.Second")},
 	{"frugal-collector", "lets the heap grow by 75%, not by 100%", edit("cmd/liftgauge/memory.go",
 		"collectorPercent   = 75", "collectorPercent   = 100")},
 }
