Have a primary that is no witness take itself in as one

It started again, alone held the records, became primary, and never came back among the witnesses: new ones are taken from those that introduce themselves, which a primary does not do to itself. The group then had three witnesses of four processes until the next failover: it decides rightly, but bears no more losses than three do.

Now the primary counts among the applicants, unless it is about to end.

--- a/replication/elector_test.go
+++ b/replication/elector_test.go
@@ -408,6 +408,25 @@
 	is.Equal(wanted.Learners, []MemberID{"b"})
 }
 
+// A primary that was left out as a witness when it was about to end, and could not be replaced, becomes a witness again after its restart.
+func TestPrimaryThatIsNoWitnessBecomesOne(t *testing.T) {
+	is := is.New(t)
+	v := ControlView{View: View{Epoch: 7, Primary: "a", Members: []MemberID{"a"}}, Witnesses: []MemberID{"b", "c", "d"}}
+	for _, id := range []MemberID{"a", "b", "c", "d"} {
+		v.Peers = append(v.Peers, Peer{Member: id, Address: "m" + id})
+	}
+	e := NewElector(ElectorOptions{
+		Self: v.Peers[0], Tolerate: 1, Random: noRandom, Register: &Register{Promised: 7, Candidate: "a", Installed: v},
+	})
+	e.run(0, func() { e.establish(v) })
+	is.Equal(e.desired().Witnesses, []MemberID{"b", "c", "d", "a"})
+	e.Tick(0)
+	is.True(e.candidacy != nil)
+
+	e.resigned = true // not while it is about to end
+	is.Equal(e.desired().Witnesses, []MemberID{"b", "c", "d"})
+}
+
 func TestMemberAtAnotherAddressIsTakenThere(t *testing.T) {
 	is := is.New(t)
 	e, _ := newPrimary()
--- a/replication/proposal.go
+++ b/replication/proposal.go
@@ -90,11 +90,16 @@
 	})
 }
 
-// applicants lists the processes that have introduced themselves lately and are not about to end, in a fixed order.
+// applicants lists the processes that may become witnesses or learners, in a fixed order: those that have introduced themselves lately and are
+// not about to end, and this primary itself, which introduces itself to nobody. It may have been left out as a witness when it was about to
+// end, and have started again as the only member that holds the records.
 func (e *Elector) applicants() []MemberID {
 	var ids []MemberID
+	if !e.resigned {
+		ids = append(ids, e.o.Self.Member)
+	}
 	for id, intro := range e.introduced {
-		if e.now-intro.at < introducedFor && !e.tenure.leaving[id] {
+		if id != e.o.Self.Member && e.now-intro.at < introducedFor && !e.tenure.leaving[id] {
 			ids = append(ids, id)
 		}
 	}
