Name the condition for telling a primary of a changed view

takeTable held it as one expression over three cases; the same truth table as a function of its own, tests of the store, the agent and sim/system unchanged. No behaviour changes.

--- a/internal/roles/store/table.go
+++ b/internal/roles/store/table.go
@@ -22,25 +22,36 @@
 	if first {
 		s.grants.raiseAll(version)
 	}
-	successors, others := map[string]bool{}, map[string]bool{}
+	successors, changed := map[string]bool{}, map[string]bool{}
 	for index := range view.Partitions.Partitions {
 		v := &view.Partitions.Partitions[index]
 		p := s.partitions[v.Partition]
 		if p != nil && p.leading && v.Primary != s.member {
 			successors[v.Primary] = true
 		}
-		if v.Primary != s.member && (v.Names(s.member) || p != nil) && (p == nil || v.Epoch > p.view.Epoch) {
-			others[v.Primary] = true
+		if s.concernsPrimary(v, p) {
+			changed[v.Primary] = true
 		}
 		s.takeView(v, version)
 	}
-	s.tellPrimaries(view, others)
+	s.tellPrimaries(view, changed)
 	s.syncPeers()
 	for member := range successors {
 		s.askLease(s.now(), s.peer(member)) // tells it that this store acts by the new table
 	}
 }
 
+// concernsPrimary tells whether another store is the primary of a view that is news to this one, which is in it or holds the partition.
+func (s *store) concernsPrimary(v *protocol.PartitionView, held *partition) bool {
+	if v.Primary == s.member {
+		return false
+	}
+	if held == nil {
+		return v.Names(s.member)
+	}
+	return v.Epoch > held.view.Epoch
+}
+
 // tellPrimaries has the primaries of changed partitions hear of the table: a primary that does not know its view yet waits for members that have left
 // it, and takes nothing over.
 func (s *store) tellPrimaries(view *agent.View, members map[string]bool) {
