--- a/lab/ablation/mechanisms.go
+++ b/lab/ablation/mechanisms.go
@@ -54,7 +54,7 @@
 	{"copies-in-one-zone", "puts the copies of a partition into as few zones as have room", edit("internal/roles/control/placement.go",
 		"SharedZones:   settings.FaultTolerance.Regions == 0", "SharedZones:   settings.FaultTolerance.Regions < 0")},
 	{"tell-primaries", "has a store tell the primary of a partition that its view has changed", edit("internal/roles/store/table.go",
-		"	s.tellPrimaries(view, others)\n", "")},
+		"	s.tellPrimaries(view, changed)\n", "")},
 	{"refusing-address-ends-session", "ends the session of a store at once when its address refuses connections", edit("internal/roles/control/refusal.go",
 		"if p == nil {\n\t\treturn\n\t}\n\tevents := p.sessions.Refuse", "if p == nil || d != nil {\n\t\treturn\n\t}\n\tevents := p.sessions.Refuse")},
 	{"verdict-on-links", "leaves one of two stores out that do not reach each other", edit("internal/roles/control/storetrouble.go",
