Test the mechanisms that had no test of their own package

Five have one now: the own zone's workers first, the two pauses before a message is handed out again, the take-over when control's primary hears too few stores, and the copies in few zones by FaultTolerance.

--- /dev/null
+++ b/internal/roles/control/cutoff_test.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"liftgauge/internal/nodeconfig"
+	"liftgauge/internal/protocol"
+	"liftgauge/replication"
+)
+
+// heartbeatInterval is how often the stores of these tests are heard of.
+const heartbeatInterval = 100 * time.Millisecond
+
+// newPrimaryOfStores returns a primary with a session of each store, two in each of the zones a, b and c, at time 0.
+func newPrimaryOfStores(tolerance nodeconfig.FaultTolerance) *primary {
+	d := &daemon{logger: zap.NewNop(), settings: &nodeconfig.Settings{FaultTolerance: tolerance}}
+	d.elector = replication.NewElector(replication.ElectorOptions{Self: replication.Peer{Member: "control"}})
+	m := newModel()
+	for i, zone := range []string{"a", "a", "b", "b", "c", "c"} {
+		key := fmt.Sprint("store", i)
+		m.nodes[key] = protocol.Node{Key: key, Member: key, Role: protocol.RoleStore, Zone: zone, Incarnation: 1}
+	}
+	return &primary{daemon: d, model: m, sessions: newSessions(0, m), placement: newPlacementState(0)}
+}
+
+// hear lets time go by from one moment to another while the stores for which heard is true send heartbeats. It returns how long from the
+// beginning on sessions were first held open for another member to take over, or -1, and for how long they were.
+func (p *primary) hear(from, to time.Duration, heard func(protocol.Node) bool) (first, held time.Duration) {
+	first = -1
+	for now := from; now < to; now += heartbeatInterval {
+		for _, n := range p.model.nodes {
+			if heard(n) {
+				p.sessions.Renew(now, sessionNode(n))
+			}
+		}
+		if p.awaitsTakeOver(now) {
+			if first < 0 {
+				first = now - from
+			}
+			held += heartbeatInterval
+		}
+	}
+	return first, held
+}
+
+func TestPrimaryThatHearsTooFewStoresWaitsForATakeOver(t *testing.T) {
+	all := func(protocol.Node) bool { return true }
+	inZones := func(zones string) func(protocol.Node) bool {
+		return func(n protocol.Node) bool { return strings.Contains(zones, n.Zone) }
+	}
+	for name, c := range map[string]struct {
+		heard func(protocol.Node) bool
+		waits bool
+	}{
+		"all are heard":             {all, false},
+		"one zone is lost":          {inZones("ac"), false},
+		"a store of each of two is": {func(n protocol.Node) bool { return n.Key != "store0" && n.Key != "store2" }, false},
+		"two zones are":             {inZones("a"), true},
+		"nobody is heard":           {inZones(""), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPrimaryOfStores(nodeconfig.FaultTolerance{Machines: 2})
+			first, _ := p.hear(0, newPrimaryPause, all)
+			is.Equal(first, time.Duration(-1))
+			first, held := p.hear(newPrimaryPause, newPrimaryPause+5*time.Second, c.heard)
+			if !c.waits {
+				is.Equal(first, time.Duration(-1))
+				return
+			}
+			is.True(first >= storeExpiry-heartbeatInterval && first <= storeExpiry+heartbeatInterval)
+			is.True(held >= takeOverPatience && held <= takeOverPatience+heartbeatInterval) // after that it is the stores that are gone
+		})
+	}
+}
+
+// A primary that has only just taken over may be the one that was asked to: it doesn't hand over in turn.
+func TestNewPrimaryDoesNotHandOver(t *testing.T) {
+	is := is.New(t)
+	p := newPrimaryOfStores(nodeconfig.FaultTolerance{Machines: 2})
+	first, _ := p.hear(0, newPrimaryPause-heartbeatInterval, func(protocol.Node) bool { return false })
+	is.Equal(first, time.Duration(-1))
+}
+
+func TestCopiesShareZonesOnlyWhereNoLossOfZonesIsToBeBorne(t *testing.T) {
+	for _, c := range []struct {
+		tolerance      nodeconfig.FaultTolerance
+		shared, spread bool
+	}{
+		{nodeconfig.FaultTolerance{Machines: 2}, true, false},
+		{nodeconfig.FaultTolerance{Machines: 2, Zones: 1}, false, false},
+		{nodeconfig.FaultTolerance{Zones: 1}, false, false},
+		{nodeconfig.FaultTolerance{Machines: 1, Regions: 1}, false, true},
+	} {
+		is := is.New(t)
+		input := newPrimaryOfStores(c.tolerance).placementInput(0)
+		is.Equal(input.SharedZones, c.shared)
+		is.Equal(input.SpreadRegions, c.spread)
+	}
+}
--- a/internal/roles/dispatcher/delivery/engine_test.go
+++ b/internal/roles/dispatcher/delivery/engine_test.go
@@ -209,6 +209,48 @@
 	})
 }
 
+// While the own zone has room nothing is sent to another, whichever worker's turn it would be; without a worker of the own zone all is.
+func TestWorkersOfTheOwnZoneGoFirst(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		is := is.New(t)
+		const messages = 20
+		served := map[string]int{}
+		for _, name := range []string{"here1", "here2", "there1", "there2"} {
+			b.serve(t, name, func(w http.ResponseWriter, r *http.Request) { served[name]++; succeed(w, r) })
+		}
+		b.list(protocol.Worker{ID: "here1"}, protocol.Worker{ID: "here2"}, protocol.Worker{ID: "there1", Zone: "b"}, protocol.Worker{ID: "there2", Zone: "b"})
+		for i := range messages {
+			is.Equal(b.deliver(message(fmt.Sprint("m", i))).Outcome, protocol.OutcomeSucceeded)
+		}
+		is.Equal(served["here1"]+served["here2"], messages)
+		b.list(protocol.Worker{ID: "there1", Zone: "b"}, protocol.Worker{ID: "there2", Zone: "b"})
+		for i := range messages {
+			is.Equal(b.deliver(message(fmt.Sprint("n", i))).Outcome, protocol.OutcomeSucceeded)
+		}
+		is.Equal(served["there1"]+served["there2"], messages)
+	})
+}
+
+// A store hands a message that nobody took out again after the pause that it is told. Without one it would do so in a loop.
+func TestWhatHasNowhereToGoComesBackWithAPause(t *testing.T) {
+	const leastPause = 50 * time.Millisecond
+	for name, handler := range map[string]http.HandlerFunc{"no room": refuse(503), "not reached": nil} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, b *bench) {
+				is := is.New(t)
+				if handler != nil {
+					b.serve(t, "w1", handler)
+				}
+				b.list(protocol.Worker{ID: "w1"})
+				r := b.deliver(message("m"))
+				is.Equal(r.Outcome, protocol.OutcomeNotRun)
+				is.True(r.Pause >= leastPause)
+				is.True(r.Pause <= time.Second)
+			})
+		})
+	}
+}
+
 func TestNoRoomIsGivenBack(t *testing.T) {
 	inBubble(t, func(t *testing.T, b *bench) {
 		is := is.New(t)
