--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -290,6 +290,12 @@
 		New:     "introducedFor",
 		Package: "./replication",
 	},
+	{
+		Promise: "a primary that is no witness becomes one", File: "replication/proposal.go",
+		Old:     "\t\tids = append(ids, e.o.Self.Member)\n",
+		New:     "",
+		Package: "./replication",
+	},
 	{
 		Promise: "a primary takes what its sources hold", File: "replication/absorb.go",
 		Old:     "\t\tif id != r.o.Self {\n",
