--- a/internal/roles/control/cutoff_test.go
+++ b/internal/roles/control/cutoff_test.go
@@ -29,9 +29,9 @@
 	return &primary{daemon: d, model: m, sessions: newSessions(0, m), placement: newPlacementState(0)}
 }
 
-// hear lets time go by from one moment to another while the stores for which heard is true send heartbeats. It returns how long from the
+// letTimePass goes from one moment to another while the stores for which heard is true send heartbeats. It returns how long from the
 // beginning on sessions were first held open for another member to take over, or -1, and for how long they were.
-func (p *primary) hear(from, to time.Duration, heard func(protocol.Node) bool) (first, held time.Duration) {
+func letTimePass(p *primary, from, to time.Duration, heard func(protocol.Node) bool) (first, held time.Duration) {
 	first = -1
 	for now := from; now < to; now += heartbeatInterval {
 		for _, n := range p.model.nodes {
@@ -67,9 +67,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPrimaryOfStores(nodeconfig.FaultTolerance{Machines: 2})
-			first, _ := p.hear(0, newPrimaryPause, all)
+			first, _ := letTimePass(p, 0, newPrimaryPause, all)
 			is.Equal(first, time.Duration(-1))
-			first, held := p.hear(newPrimaryPause, newPrimaryPause+5*time.Second, c.heard)
+			first, held := letTimePass(p, newPrimaryPause, newPrimaryPause+5*time.Second, c.heard)
 			if !c.waits {
 				is.Equal(first, time.Duration(-1))
 				return
@@ -84,23 +84,6 @@
 func TestNewPrimaryDoesNotHandOver(t *testing.T) {
 	is := is.New(t)
 	p := newPrimaryOfStores(nodeconfig.FaultTolerance{Machines: 2})
-	first, _ := p.hear(0, newPrimaryPause-heartbeatInterval, func(protocol.Node) bool { return false })
+	first, _ := letTimePass(p, 0, newPrimaryPause-heartbeatInterval, func(protocol.Node) bool { return false })
 	is.Equal(first, time.Duration(-1))
 }
-
-func TestCopiesShareZonesOnlyWhereNoLossOfZonesIsToBeBorne(t *testing.T) {
-	for _, c := range []struct {
-		tolerance      nodeconfig.FaultTolerance
-		shared, spread bool
-	}{
-		{nodeconfig.FaultTolerance{Machines: 2}, true, false},
-		{nodeconfig.FaultTolerance{Machines: 2, Zones: 1}, false, false},
-		{nodeconfig.FaultTolerance{Zones: 1}, false, false},
-		{nodeconfig.FaultTolerance{Machines: 1, Regions: 1}, false, true},
-	} {
-		is := is.New(t)
-		input := newPrimaryOfStores(c.tolerance).placementInput(0)
-		is.Equal(input.SharedZones, c.shared)
-		is.Equal(input.SpreadRegions, c.spread)
-	}
-}
--- a/internal/roles/control/stores_test.go
+++ b/internal/roles/control/stores_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"liftgauge/internal/agent"
+	"liftgauge/internal/nodeconfig"
 	"liftgauge/internal/protocol"
 )
 
@@ -181,3 +182,20 @@
 	c.await(dispatcher, "the list read by another", has("w-2", "w-4"))
 	is.True(dispatcher.View().WorkersVersion.Term > term)
 }
+
+func TestCopiesShareZonesOnlyWhereNoLossOfZonesIsToBeBorne(t *testing.T) {
+	for _, c := range []struct {
+		tolerance      nodeconfig.FaultTolerance
+		shared, spread bool
+	}{
+		{nodeconfig.FaultTolerance{Machines: 2}, true, false},
+		{nodeconfig.FaultTolerance{Machines: 2, Zones: 1}, false, false},
+		{nodeconfig.FaultTolerance{Zones: 1}, false, false},
+		{nodeconfig.FaultTolerance{Machines: 1, Regions: 1}, false, true},
+	} {
+		is := is.New(t)
+		input := newPrimaryOfStores(c.tolerance).placementInput(0)
+		is.Equal(input.SharedZones, c.shared)
+		is.Equal(input.SpreadRegions, c.spread)
+	}
+}
