Place services on dispatchers incrementally, by the same hash

Cause: placement.Owners hashed and sorted all dispatchers for each service, at every store and dispatcher, whenever nodes, workers or the configuration changed: the largest share of what stores and dispatchers allocate at 300 machines.

Ownership keeps the best of each service. A dispatcher that joins is compared with them, one that leaves has only its own services placed anew, and nothing is sorted. The hash of the names is the one of before, so versions that run side by side in an upgrade agree on who paces a service: a rate is never let through twice.

Tests: the even spread, that nothing moves but what was a leaver's or becomes a joiner's, that kept owners are those of the version before under random changes.

--- a/internal/roles/dispatcher/dispatcher.go
+++ b/internal/roles/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"liftgauge/internal/roles/dispatcher/ingress"
 	"liftgauge/internal/roles/dispatcher/stores"
 	"liftgauge/internal/rpc"
+	"liftgauge/placement"
 )
 
 const (
@@ -69,8 +70,9 @@
 	stop      context.CancelFunc
 
 	// Owned by follow, which is called by one goroutine at a time.
-	followed bool
-	windows  []protocol.ServiceWindow
+	followed  bool
+	ownership placement.Ownership // of rate-limited and static services
+	windows   []protocol.ServiceWindow
 }
 
 // Run serves until the context ends, and then ends as planned, within the grace that the settings give.
@@ -179,7 +181,7 @@
 	if !d.followed || before.Configuration != after.Configuration || before.WorkersVersion != after.WorkersVersion ||
 		!slices.Equal(before.Dispatchers, after.Dispatchers) {
 		d.followed = true
-		state := stateOf(after, d.agent.Node().Key)
+		state := stateOf(after, d.agent.Node().Key, &d.ownership)
 		d.engine.Update(state)
 		d.windows = delivery.Windows(&state)
 	}
--- a/internal/roles/dispatcher/state.go
+++ b/internal/roles/dispatcher/state.go
@@ -10,11 +10,12 @@
 )
 
 // stateOf is what the engine of the dispatcher goes by: the services that it sends to, and the workers.
-func stateOf(s *directory.Snapshot, self string) delivery.State {
+func stateOf(s *directory.Snapshot, self string, ownership *placement.Ownership) delivery.State {
 	state := delivery.State{Workers: s.Workers, ListVersion: s.WorkersVersion, Number: s.Number, Dispatchers: len(s.Dispatchers), InZone: s.InZone}
 	if s.Configuration == nil {
 		return state
 	}
+	ownership.SetDispatchers(s.Dispatchers)
 	aims := map[string]time.Duration{}
 	for i := range s.Configuration.Routes {
 		r := &s.Configuration.Routes[i]
@@ -25,7 +26,7 @@
 	for i := range s.Configuration.Services {
 		service := &s.Configuration.Services[i]
 		owners := placement.OwnerCount(service.RatePerS, service.Static != "")
-		if owners > 0 && !slices.Contains(placement.Owners(service.Name, s.Dispatchers, owners), self) {
+		if owners > 0 && !slices.Contains(ownership.Of(service.Name, owners), self) {
 			continue
 		}
 		state.Services = append(state.Services, delivery.Service{
--- a/internal/roles/store/store.go
+++ b/internal/roles/store/store.go
@@ -12,6 +12,7 @@
 	"liftgauge/internal/protocol"
 	"liftgauge/internal/recordlog"
 	"liftgauge/internal/rpc"
+	"liftgauge/placement"
 	"liftgauge/queue"
 )
 
@@ -39,6 +40,7 @@
 	configuration        *configuration.Configuration
 	configurationVersion protocol.ItemVersion
 	windowsStale         bool
+	ownership            placement.Ownership // of rate-limited and static services
 
 	queue        *queue.Queue
 	partitions   map[uint32]*partition
--- a/internal/roles/store/windows.go
+++ b/internal/roles/store/windows.go
@@ -25,24 +25,30 @@
 // fleet is what windows depend on.
 type fleet struct {
 	stores      int
-	dispatchers []string // keys of those that take part
+	dispatchers int // that take part
+	ownership   *placement.Ownership
 	sessions    map[string]string
 	nearby      int // dispatchers of the own zone
 	capacity    map[string]int
 }
 
 func (s *store) fleet(view *agent.View) *fleet {
-	f := &fleet{stores: max(1, len(view.Live(protocol.RoleStore))), sessions: map[string]string{}, capacity: map[string]int{}}
+	f := &fleet{
+		stores: max(1, len(view.Live(protocol.RoleStore))), ownership: &s.ownership, sessions: map[string]string{}, capacity: map[string]int{},
+	}
+	keys := []string{}
 	for _, node := range view.Live(protocol.RoleDispatcher) {
 		if node.Leaving {
 			continue
 		}
-		f.dispatchers = append(f.dispatchers, node.Key)
+		keys = append(keys, node.Key)
 		f.sessions[node.Key] = sessionName(node.Key, node.Incarnation)
 		if node.Zone == s.settings.Zone {
 			f.nearby++
 		}
 	}
+	f.dispatchers = len(keys)
+	s.ownership.SetDispatchers(keys)
 	for index := range view.Workers.Workers {
 		if w := &view.Workers.Workers[index]; !w.Draining {
 			f.capacity[w.Service] += int(w.Capacity)
@@ -60,14 +66,14 @@
 	total := max(minWindow, int(math.Ceil(overcommit*float64(f.capacity[service.Name])/float64(f.stores))))
 	spread := f.nearby
 	if spread == 0 {
-		spread = max(1, len(f.dispatchers))
+		spread = max(1, f.dispatchers)
 	}
 	return queue.Window{Total: total, PerDispatcher: max(minOwnerWindow, (total+spread-1)/spread)}
 }
 
 func (f *fleet) ownedWindow(service *configuration.Service, count int) queue.Window {
 	owners := []string{}
-	for _, key := range placement.Owners(service.Name, f.dispatchers, count) {
+	for _, key := range f.ownership.Of(service.Name, count) {
 		owners = append(owners, f.sessions[key])
 	}
 	each := ownerWindow
