Give views of control a generation, and found the next one on one disk

Cause: a group whose majority of witnesses has lost its disks, or that has no member left, could never decide anything again (docs/control-safety.md, What does not hold). FoundAnew makes the first view of a next generation, of one process; everybody who hears of it adopts it, whatever was promised before, and gives up being primary. A founder does not adopt its own view by hearsay: that was found by a test of the whole command, where those that had joined told it before its records were written.

Ruled out: epochs alone. Old disks that are put back and are a majority of the old witnesses elect somebody among themselves, and nothing in an epoch says that their group is over; with a generation one message does.

--- a/replication/action.go
+++ b/replication/action.go
@@ -30,16 +30,20 @@
 // LostPrimary tells that this process is no longer primary or candidate; call Replica.StepDown.
 type LostPrimary struct{ Epoch uint64 }
 
+// JoinedGeneration tells that the group was founded anew without this process: what its disk holds counts no more, see FoundAnew.
+type JoinedGeneration struct{ Generation uint64 }
+
 // Answer asks to call a function that was given to Confirm.
 type Answer struct {
 	Call   func(stands bool)
 	Stands bool
 }
 
-func (SendElection) action()    {}
-func (PersistRegister) action() {}
-func (PrepareView) action()     {}
-func (InstallView) action()     {}
-func (BecamePrimary) action()   {}
-func (LostPrimary) action()     {}
-func (Answer) action()          {}
+func (SendElection) action()     {}
+func (PersistRegister) action()  {}
+func (PrepareView) action()      {}
+func (InstallView) action()      {}
+func (BecamePrimary) action()    {}
+func (LostPrimary) action()      {}
+func (JoinedGeneration) action() {}
+func (Answer) action()           {}
--- a/replication/ballot.go
+++ b/replication/ballot.go
@@ -40,9 +40,10 @@
 	return hasMajority(b.base.Witnesses, func(id MemberID) bool { return b.promised[id] })
 }
 
-// propose sets the view to be installed.
+// propose sets the view to be installed. It is of the generation of the view before.
 func (b *ballot) propose(v ControlView, primary MemberID) {
 	b.view = v
+	b.view.Generation = b.base.Generation
 	b.view.Epoch, b.view.Primary = b.epoch, primary
 }
 
--- a/replication/controlview.go
+++ b/replication/controlview.go
@@ -14,8 +14,9 @@
 // ControlView is a view of the group that decides for itself.
 type ControlView struct {
 	View
-	Witnesses []MemberID // a majority of them decides the next view
-	Peers     []Peer     // addresses of members, learners and witnesses
+	Witnesses  []MemberID // a majority of them decides the next view
+	Peers      []Peer     // addresses of members, learners and witnesses
+	Generation uint64     // how often an operator has founded the group anew, see FoundAnew
 }
 
 // Address returns the address of a member, learner or witness, or "".
@@ -77,7 +78,7 @@
 	for _, p := range v.Peers {
 		b = appendPeer(b, p)
 	}
-	return b
+	return binary.AppendUvarint(b, v.Generation)
 }
 
 func (v *ControlView) read(r *reader) {
@@ -86,4 +87,5 @@
 	for range r.count() {
 		v.Peers = append(v.Peers, readPeer(r))
 	}
+	v.Generation = r.uint() // versions before 2026-12 write none
 }
--- a/replication/elector.go
+++ b/replication/elector.go
@@ -329,8 +329,12 @@
 	e.writer.answer(e, from, answer)
 }
 
-// meet notes a view by which others can be found.
+// meet notes a view by which others can be found. One of a later generation is taken for the own, unless this process is to found it: it
+// begins with the records that are written for it, and not before.
 func (e *Elector) meet(v ControlView) {
+	if v.Generation > e.witness.Register.Installed.Generation && v.Primary != e.o.Self.Member {
+		e.adoptGeneration(v)
+	}
 	if v.Epoch > e.contact.Epoch {
 		e.contact = v.Clone()
 	}
--- a/replication/tenure.go
+++ b/replication/tenure.go
@@ -241,6 +241,9 @@
 		}
 	}
 	e.writer.answer(e, from, e.aliveAnswer(from.Member, m.Epoch, m.Round))
+	if m.Epoch < installed.Epoch && installed.Generation > 0 {
+		e.tellGeneration(from)
+	}
 }
 
 // follow takes a decided view of another primary.
