Let the operator give up the disks of a store that never comes back

Cause: a merge waited for ever for a store that did not return, and a partition with more than F disks lost rested for good; where a merge had begun, a source that lost its disk was dropped and what only it held went without a word. Now one rule holds before and during a merge: beyond F a partition rests until the operator has given up each lost disk. liftgauge abandon says first what that means; status counts the partitions that rest and names the disks. TestSourceLosesItsDiskBeforeItIsAbsorbed said the opposite, as an open question (docs/control-safety.md): it now asks for the wait, for one disk given up of two, and for the end of it.

Model: two of four stores lost for good, partitions begin anew, all messages are taken (TestPartitionsBeginAnewOnceTheirDisksAreGivenUp).

--- a/cmd/liftgauge/operator.go
+++ b/cmd/liftgauge/operator.go
@@ -41,13 +41,17 @@
 		}
 		addresses = settings.SeedNodes
 	}
-	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+	ctx, cancel := contextFor(cmd, o.timeout)
 	return operator.New(addresses, nil), ctx, cancel, nil
 }
 
+func contextFor(cmd *cobra.Command, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(cmd.Context(), timeout)
+}
+
 // operatorCommands are the subcommands that ask a running system.
 func operatorCommands() []*cobra.Command {
-	return []*cobra.Command{statusCommand(), describeCommand(), retireCommand()}
+	return []*cobra.Command{statusCommand(), describeCommand(), retireCommand(), abandonCommand()}
 }
 
 func statusCommand() *cobra.Command {
--- a/cmd/liftgauge/operator_test.go
+++ b/cmd/liftgauge/operator_test.go
@@ -21,6 +21,8 @@
 	answer("GET /status", `{"Node":"edge-1/control","Active":true,"Epoch":3,"Partitions":{"Count":64}}`)
 	answer("POST /retire/s1/start", ``)
 	answer("GET /retire/s1/describe", `{"State":"succeeded"}`)
+	answer("GET /abandon/s1/describe", `{"Stores":["s1/a"],"Kept":40,"Merged":3,"Incomplete":2,"Emptied":1,"Waiting":4}`)
+	answer("POST /abandon/s1/start", `{"Stores":["s1/a"],"Kept":40}`)
 	primary := httptest.NewServer(mux)
 	t.Cleanup(primary.Close)
 	redirect := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -53,6 +55,27 @@
 	is.Equal(err.Error(), "retire: 0 arguments: want liftgauge retire [options] NODE")
 }
 
+func TestAbandonCommand(t *testing.T) {
+	is := is.New(t)
+	at := controlStandIn(t)
+	out, err := run("abandon", "s1", "--control", at)
+	is.NoErr(err)
+	is.Equal(out, "disks: s1/a\n"+
+		"40 partitions go on from a member that has everything\n"+
+		"3 partitions are put together from what other stores hold: all that was acknowledged\n"+
+		"2 partitions are put together from what other stores hold: what only lost disks had is gone\n"+
+		"1 partitions have no disk left: all of their messages are gone, and they begin anew\n"+
+		"4 partitions wait for yet another disk: see liftgauge status\n"+
+		"nothing was done; to give these disks up, give --confirm as well\n")
+	out, err = run("abandon", "s1", "--confirm", "--control", at)
+	is.NoErr(err)
+	is.Equal(out, "disks: s1/a\n40 partitions go on from a member that has everything\ngiven up\n")
+	_, err = run("abandon", "s2", "--control", at)
+	is.Equal(err.Error(), "refused with 404: 404 page not found")
+	_, err = run("abandon", "--control", at)
+	is.True(err != nil)
+}
+
 func TestOperatorCommandsAskTheSeeds(t *testing.T) {
 	is := is.New(t)
 	at := controlStandIn(t)
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"liftgauge/internal/statuspage"
+	"liftgauge/placement"
 )
 
 // RetirementState is how far the emptying of a machine is.
@@ -75,6 +76,34 @@
 	}
 }
 
+// Abandonment is what giving up the disks of a machine means, in counts of partitions.
+type Abandonment struct {
+	Stores []string
+	placement.Abandonment
+}
+
+// Abandonment returns what it would mean to give up the disks of a storage machine whose store is gone.
+func (c *Client) Abandonment(ctx context.Context, node string) (*Abandonment, error) {
+	return c.abandonment(ctx, http.MethodGet, node, "describe")
+}
+
+// Abandon gives up the disks of a storage machine whose store is gone, and returns what that means.
+func (c *Client) Abandon(ctx context.Context, node string) (*Abandonment, error) {
+	return c.abandonment(ctx, http.MethodPost, node, "start")
+}
+
+func (c *Client) abandonment(ctx context.Context, method, node, verb string) (*Abandonment, error) {
+	answer, _, err := c.call(ctx, method, "/abandon/"+url.PathEscape(node)+"/"+verb, nil)
+	if err != nil {
+		return nil, err
+	}
+	page := new(Abandonment)
+	if err := json.Unmarshal(answer, page); err != nil {
+		return nil, errors.Newf("what is given up cannot be read (%s): ask a control process of this version", firstBytes(answer))
+	}
+	return page, nil
+}
+
 func retirePath(node, verb string) string { return "/retire/" + url.PathEscape(node) + "/" + verb }
 
 // Status returns what the primary knows of the system, or another control process where the primary cannot be reached.
--- /dev/null
+++ b/internal/roles/control/abandon.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"liftgauge/placement"
+)
+
+// abandonmentPage is what the operator reads of an abandonment.
+type abandonmentPage struct {
+	Stores []string // the disks that are given up, by member
+	placement.Abandonment
+}
+
+func (a operatorAPI) describeAbandonment(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("node")
+	a.respond(w, r, func(reply func(answer)) {
+		a.daemon.withPrimary(func(p *primary) {
+			p.answerDurably(func() answer { return p.abandonment(a.daemon.now(), name, p.abandonable(name)) }, reply)
+		}, reply)
+	})
+}
+
+func (a operatorAPI) startAbandonment(w http.ResponseWriter, r *http.Request) {
+	if _, ok := readBody(w, r, mostRetireBytes); !ok {
+		return
+	}
+	name := r.PathValue("node")
+	a.respond(w, r, func(reply func(answer)) {
+		a.daemon.withPrimary(func(p *primary) {
+			p.answerDurably(func() answer { return p.startAbandonment(a.daemon.now(), name) }, reply)
+		}, reply)
+	})
+}
+
+// abandonable lists the disks of a machine that are gone: those of stores without a session.
+func (p *primary) abandonable(name string) (members []string) {
+	for _, s := range p.storesNamed(name) {
+		if _, live := p.sessionOf(s.Member); !live {
+			members = append(members, s.Member)
+		}
+	}
+	return members
+}
+
+// sessionOf returns the key of the live process that has a disk.
+func (p *primary) sessionOf(member string) (key string, live bool) {
+	for key, node := range p.model.nodes {
+		if node.Member == member {
+			return key, true
+		}
+	}
+	return "", false
+}
+
+// abandonment tells what giving up disks of a machine means.
+func (p *primary) abandonment(now time.Duration, name string, members []string) answer {
+	switch {
+	case len(p.storesNamed(name)) == 0:
+		return refusal(http.StatusNotFound, "no storage machine of this name is known: read the names in /status")
+	case len(members) == 0:
+		return refusal(http.StatusConflict, "the store of this machine is there with its disk: empty it by /retire/NODE/start")
+	}
+	page := abandonmentPage{Stores: members, Abandonment: placement.Abandon(p.placementInput(now), members)}
+	body, _ := json.Marshal(page) // numbers and texts always encode
+	return answer{status: http.StatusOK, body: body}
+}
+
+// startAbandonment gives up the disks of a machine whose store is gone, and answers what that means.
+func (p *primary) startAbandonment(now time.Duration, name string) answer {
+	members := p.abandonable(name)
+	given := p.abandonment(now, name, members)
+	if given.status != http.StatusOK {
+		return given
+	}
+	for _, s := range p.storesNamed(name) {
+		if slices.Contains(members, s.Member) && !s.Abandoned {
+			p.daemon.logger.Warn("control: the disk of a store is given up", zap.String("store", s.Member))
+			s.Abandoned = true
+			p.put(s.record())
+			p.placement.planWanted = true
+		}
+	}
+	return given
+}
--- a/internal/roles/control/model_test.go
+++ b/internal/roles/control/model_test.go
@@ -61,6 +61,7 @@
 		s := storeRecord{
 			Member: rapid.String().Draw(t, "member"), Name: rapid.String().Draw(t, "name"), Zone: rapid.String().Draw(t, "zone"),
 			Region: rapid.String().Draw(t, "region"), Retiring: rapid.Bool().Draw(t, "retiring"), Emptied: rapid.Bool().Draw(t, "emptied"),
+			Abandoned: rapid.Bool().Draw(t, "abandoned"),
 		}
 		if m := applyAll(t, s.record()); m.stores[s.Member] != s {
 			t.Fatalf("%+v became %+v", s, m.stores[s.Member])
--- a/internal/roles/control/operator.go
+++ b/internal/roles/control/operator.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -31,6 +32,8 @@
 	mux.HandleFunc("GET /config/describe", a.describe)
 	mux.HandleFunc("POST /retire/{node}/start", a.startRetirement)
 	mux.HandleFunc("GET /retire/{node}/describe", a.describeRetirement)
+	mux.HandleFunc("POST /abandon/{node}/start", a.startAbandonment)
+	mux.HandleFunc("GET /abandon/{node}/describe", a.describeAbandonment)
 	mux.HandleFunc("GET /status", a.status)
 	mux.HandleFunc("GET /metrics", a.metrics)
 	return mux
@@ -177,7 +180,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		body = append([]byte(a.text), '\n')
 	} else {
-		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Type", cmp.Or(a.contentType, "application/json"))
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(a.status)
--- a/internal/roles/control/placement.go
+++ b/internal/roles/control/placement.go
@@ -72,7 +72,7 @@
 		known = storeRecord{Member: node.Member, Retiring: p.retiringName(node.Name)}
 	}
 	record := known
-	record.Name, record.Zone, record.Region = node.Name, node.Zone, node.Region
+	record.Name, record.Zone, record.Region, record.Abandoned = node.Name, node.Zone, node.Region, false
 	if !ok || record != known {
 		p.put(record.record())
 	}
@@ -208,7 +208,7 @@
 	stores := make([]placement.Store, 0, len(p.model.stores))
 	for _, member := range p.model.storeMembers() {
 		record := p.model.stores[member]
-		store := placement.Store{Member: member, Zone: record.Zone, Region: record.Region, Retiring: record.Retiring}
+		store := placement.Store{Member: member, Zone: record.Zone, Region: record.Region, Retiring: record.Retiring, Abandoned: record.Abandoned}
 		if node, ok := live[member]; ok {
 			store.Leaving = node.Leaving
 			store.Stalled = p.placement.trouble.isStalled(now, member)
--- a/internal/roles/control/records.go
+++ b/internal/roles/control/records.go
@@ -72,15 +72,27 @@
 	Region   string
 	Retiring bool
 	Emptied  bool // it was retiring and no partition names it any more
+	// Abandoned says that the operator has given up the disk. It is taken back when the store opens a session with it.
+	Abandoned bool
 }
 
+// The flags of a store's record.
+const (
+	storeRetiring uint64 = 1 << iota
+	storeEmptied
+	storeAbandoned
+)
+
 func (s storeRecord) record() replication.Record {
 	var flags uint64
 	if s.Retiring {
-		flags |= 1
+		flags |= storeRetiring
 	}
 	if s.Emptied {
-		flags |= 2
+		flags |= storeEmptied
+	}
+	if s.Abandoned {
+		flags |= storeAbandoned
 	}
 	value := appendText(appendText(appendText(nil, s.Name), s.Zone), s.Region)
 	return replication.Record{Key: prefixStore + s.Member, Value: binary.AppendUvarint(value, flags)}
@@ -90,7 +102,7 @@
 	r := fieldReader{rest: value}
 	s := storeRecord{Member: member, Name: r.text(), Zone: r.text(), Region: r.text()}
 	flags := r.number()
-	s.Retiring, s.Emptied = flags&1 != 0, flags&2 != 0
+	s.Retiring, s.Emptied, s.Abandoned = flags&storeRetiring != 0, flags&storeEmptied != 0, flags&storeAbandoned != 0
 	return s, r.err
 }
 
--- a/internal/roles/control/status.go
+++ b/internal/roles/control/status.go
@@ -10,6 +10,7 @@
 
 	"liftgauge/internal/protocol"
 	"liftgauge/internal/statuspage"
+	"liftgauge/placement"
 	"liftgauge/replication"
 )
 
@@ -44,8 +45,11 @@
 	if d.primary != nil {
 		for _, s := range d.primary.placementStores(d.now()) {
 			record := d.primary.model.stores[s.Member]
-			page.Stores = append(page.Stores, statuspage.Store{Member: s.Member, Live: s.GoneFor == 0, Retiring: s.Retiring, Emptied: record.Emptied})
+			page.Stores = append(page.Stores, statuspage.Store{
+				Member: s.Member, Live: s.GoneFor == 0, Retiring: s.Retiring, Emptied: record.Emptied, Abandoned: s.Abandoned,
+			})
 		}
+		page.Partitions.WaitsFor, page.Partitions.Waiting = placement.WaitsFor(d.primary.placementInput(d.now()))
 	}
 	return page
 }
--- a/internal/roles/control/waiting.go
+++ b/internal/roles/control/waiting.go
@@ -18,6 +18,7 @@
 type answer struct {
 	status       int
 	body         []byte
+	contentType  string // of the body; JSON where it is empty
 	text         string // of a refusal, instead of a body
 	controlPlane string // of the primary, for 307
 }
--- a/internal/statuspage/status.go
+++ b/internal/statuspage/status.go
@@ -48,6 +48,9 @@
 	Primary  map[string]int // partitions led, by member
 	Learners int            // partitions that have learners
 	Short    int            // partitions with fewer members than FaultTolerance asks copies for
+	// Waiting counts the partitions that rest until a disk is back or given up; WaitsFor names these disks by member. The primary only.
+	Waiting  int      `json:",omitempty"`
+	WaitsFor []string `json:",omitempty"`
 }
 
 // Store is a store as placement sees it.
@@ -56,6 +59,8 @@
 	Live     bool
 	Retiring bool `json:",omitempty"`
 	Emptied  bool `json:",omitempty"`
+	// Abandoned says that the operator has given up the disk.
+	Abandoned bool `json:",omitempty"`
 }
 
 // Print writes the status as plain text.
@@ -77,6 +82,10 @@
 	fmt.Fprintf(out, "orders under way: %d; workers on the list: %d\n", s.Orders, s.Workers)
 	fmt.Fprintf(out, "partitions: %d, of these %d with learners, %d short of copies\n\n",
 		s.Partitions.Count, s.Partitions.Learners, s.Partitions.Short)
+	if s.Partitions.Waiting > 0 {
+		fmt.Fprintf(out, "%d partitions rest until these disks are back, or given up by liftgauge abandon: %s\n\n",
+			s.Partitions.Waiting, list(s.Partitions.WaitsFor))
+	}
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "process\tzone\taddress\tmember\tstate")
 	for _, n := range s.Nodes {
@@ -113,6 +122,8 @@
 		state = "live"
 	}
 	switch {
+	case s.Abandoned:
+		return state + ", given up"
 	case s.Emptied:
 		return state + ", empty"
 	case s.Retiring:
--- /dev/null
+++ b/placement/abandon_test.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestAbandonTellsWhatIsLost has one partition of each kind.
+func TestAbandonTellsWhatIsLost(t *testing.T) {
+	is := is.New(t)
+	in := Input{
+		Stores: []Store{
+			{Member: "s1/a"}, {Member: "s2/b", GoneFor: time.Second}, {Member: "s3/c", GoneFor: time.Second}, {Member: "s4/d", GoneFor: time.Second}, {Member: "s5/e"},
+		},
+		Copies: 2,
+		Partitions: []View{
+			{Epoch: 3, Primary: "s1/a", Members: []string{"s1/a", "s2/b"}},                                                                           // goes on
+			{Epoch: 3, Primary: "s2/b", Members: []string{"s2/b"}, Learners: []string{"s1/a"}},                                                       // put together
+			{Epoch: 3, Primary: "s2/b", Members: []string{"s2/b"}, Learners: []string{"s1/a"}, Holders: []string{"s3/c"}},                            // put together, not whole
+			{Epoch: 3, Primary: "s2/b", Members: []string{"s2/b", "s3/c"}},                                                                           // nothing left
+			{Epoch: 3, Primary: "s4/d", Members: []string{"s4/d"}, Learners: []string{"s2/b"}},                                                       // waits for s4
+			{Epoch: 3, Primary: "s1/a", Members: []string{"s1/a", "s5/e"}},                                                                           // names neither
+			{Epoch: 3, Primary: "s1/a", Members: []string{"s1/a"}, Learners: []string{"s2/b"}, Sources: []string{"s2/b"}, Holders: []string{"s3/c"}}, // source lost
+		},
+	}
+	is.Equal(Abandon(in, []string{"s2/b", "s3/c"}), Abandonment{Kept: 1, Merged: 1, Incomplete: 2, Emptied: 1, Waiting: 1})
+	is.Equal(Abandon(in, []string{"s9/z"}), Abandonment{})
+	members, partitions := WaitsFor(in)
+	is.Equal(members, []string{"s2/b", "s3/c", "s4/d"})
+	is.Equal(partitions, 5)          // all but the first and the sixth
+	is.True(!in.Stores[1].Abandoned) // nothing was changed
+}
+
+// TestAbandonFitsWhatPlanDoes: partitions that were said to wait for something do, and no others.
+func TestAbandonFitsWhatPlanDoes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, 3, 2)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			m.step(t)
+		}
+		var gone []string
+		for _, name := range m.order {
+			if m.stores[name].GoneFor > 0 {
+				gone = append(gone, name)
+			}
+		}
+		if m.lasting() < m.copies {
+			return
+		}
+		told := Abandon(m.input(true), gone)
+		if told.Waiting > 0 {
+			t.Fatalf("all are given up, and partitions wait: %+v", told)
+		}
+		_, before := WaitsFor(m.input(true))
+		if told.Emptied+told.Incomplete > 0 && before == 0 {
+			t.Fatalf("something is lost though no partition waits: %+v", told)
+		}
+		for _, name := range gone {
+			m.stores[name].Abandoned = true
+		}
+		m.settle(t)
+		if members, n := WaitsFor(m.input(true)); n > 0 {
+			t.Fatalf("%d partitions wait for %v", n, members)
+		}
+	})
+}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -28,9 +28,9 @@
 	return true
 }
 
-// waits reports whether the partition waits for a member that is gone.
+// waits reports whether the partition waits for a member that is gone, or for a source that has lost its disk.
 func (s *state) waits(p int) bool {
-	return s.liveCount(s.views[p].members) == 0
+	return s.liveCount(s.views[p].members) == 0 || s.awaitsSource(p)
 }
 
 // resting reports whether the partition has no move under way and waits for nobody.
--- a/placement/lostsource_test.go
+++ b/placement/lostsource_test.go
@@ -7,17 +7,32 @@
 	"github.com/matryer/is"
 )
 
-// TestSourceLosesItsDiskBeforeItIsAbsorbed has a merge under way, after the disk of the only member was lost, and takes the disk of its source as well: more
-// than Copies allows for. The partition goes on with what is left, and what may be put back stays listed.
-func TestSourceLosesItsDiskBeforeItIsAbsorbed(t *testing.T) {
-	is := is.New(t)
-	changes := Plan(Input{
+// mergeUnderWay is a merge after the disk of the only member, s3/c, was lost: s1 has still to take what s2/b holds, whose disk is lost as well.
+func mergeUnderWay() Input {
+	return Input{
 		Stores: []Store{
 			{Member: "s1/a"}, {Member: "s2/b", GoneFor: time.Second}, {Member: "s2/b2"}, {Member: "s3/c", GoneFor: time.Second}, {Member: "s3/c2"},
 		},
 		Copies:     2,
 		Partitions: []View{{Epoch: 3, Primary: "s1/a", Members: []string{"s1/a"}, Learners: []string{"s2/b"}, Sources: []string{"s2/b"}, Holders: []string{"s3/c"}}},
-	})
+	}
+}
+
+// TestSourceLosesItsDiskBeforeItIsAbsorbed has more disks lost than Copies allows for: an old one may be put back, so the partition waits for its source as
+// a merge does that has not begun, until the operator has given up every disk that is lost.
+func TestSourceLosesItsDiskBeforeItIsAbsorbed(t *testing.T) {
+	is := is.New(t)
+	in := mergeUnderWay()
+	for _, change := range Plan(in) {
+		is.Equal(change.View.Sources, []string{"s2/b"})
+		is.Equal(change.View.Primary, "s1/a")
+	}
+	in.Stores[1].Abandoned = true // of two
+	for _, change := range Plan(in) {
+		is.Equal(change.View.Sources, []string{"s2/b"})
+	}
+	in.Stores[3].Abandoned = true
+	changes := Plan(in)
 	is.Equal(len(changes), 1)
 	v := changes[0].View
 	is.Equal(v.Members, []string{"s1/a"})
@@ -25,3 +40,82 @@
 	is.Equal(len(v.Learners), 1) // a new copy
 	is.Equal(v.Holders, []string{"s2/b", "s3/c"})
 }
+
+// TestSourceThatTheCopiesAllowForIsDoneWithout has three copies: two disks lost are no more than may be.
+func TestSourceThatTheCopiesAllowForIsDoneWithout(t *testing.T) {
+	is := is.New(t)
+	in := mergeUnderWay()
+	in.Copies = 3
+	changes := Plan(in)
+	is.Equal(len(changes), 1)
+	is.Equal(len(changes[0].View.Sources), 0)
+	is.Equal(changes[0].View.Holders, []string{"s2/b", "s3/c"})
+}
+
+// TestMergeDoesNotWaitForAnAbandonedStore has the last member and the other that may hold something gone, neither of them back with another disk.
+func TestMergeDoesNotWaitForAnAbandonedStore(t *testing.T) {
+	is := is.New(t)
+	in := Input{
+		Stores: []Store{{Member: "s1/a"}, {Member: "s2/b", GoneFor: time.Second}, {Member: "s3/c", GoneFor: time.Second}, {Member: "s4/d"}},
+		Copies: 2,
+		Partitions: []View{
+			{Epoch: 3, Primary: "s2/b", Members: []string{"s2/b"}, Learners: []string{"s1/a"}, Holders: []string{"s3/c"}},
+			{Epoch: 3, Primary: "s2/b", Members: []string{"s2/b", "s3/c"}},
+		},
+	}
+	is.Equal(len(Plan(in)), 0)
+	in.Stores[2].Abandoned = true
+	is.Equal(len(Plan(in)), 0) // the last member may come back
+	in.Stores[1].Abandoned = true
+	changes := Plan(in)
+	is.Equal(len(changes), 2)
+	is.Equal(changes[0].View.Primary, "s1/a") // what it holds
+	is.Equal(changes[0].View.Holders, []string{"s2/b", "s3/c"})
+	is.Equal(len(changes[1].View.Members), 1) // nothing is left: it begins anew
+	is.Equal(len(changes[1].View.Learners), 1)
+	is.Equal(len(changes[1].View.Sources), 0)
+
+	in.Stores[1].GoneFor, in.Stores[2].GoneFor = 0, 0 // back all the same: nothing is given up
+	for _, change := range Plan(in) {
+		is.Equal(change.View.Primary, "s2/b")
+	}
+}
+
+// TestAbandonedStoreIsBackWhenASourceIsLost has the source of a merge lose its disk after a store that had been given up before the merge is back: what
+// the source held may be there, so it is a source now.
+func TestAbandonedStoreIsBackWhenASourceIsLost(t *testing.T) {
+	is := is.New(t)
+	changes := Plan(Input{
+		Stores: []Store{{Member: "s1/a"}, {Member: "s2/b", GoneFor: time.Second, Abandoned: true}, {Member: "s3/c"}},
+		Copies: 2,
+		Partitions: []View{
+			{Epoch: 3, Primary: "s1/a", Members: []string{"s1/a"}, Learners: []string{"s2/b"}, Sources: []string{"s2/b"}, Holders: []string{"s3/c"}},
+		},
+	})
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].View.Sources, []string{"s3/c"})
+	is.Equal(changes[0].View.Learners, []string{"s3/c"})
+	is.Equal(changes[0].View.Holders, []string{"s2/b"})
+}
+
+// TestPartitionThatAwaitsASourceHoldsUpNoBalance has one partition rest for the operator's word, and a store with nothing: it is given partitions all the same.
+func TestPartitionThatAwaitsASourceHoldsUpNoBalance(t *testing.T) {
+	is := is.New(t)
+	in := mergeUnderWay()
+	in.Stores = append(in.Stores, Store{Member: "s4/d"})
+	for i := range in.Stores {
+		if in.Stores[i].GoneFor > 0 {
+			in.Stores[i].GoneFor = 2 * SettleTime
+		}
+	}
+	for range 9 {
+		in.Partitions = append(in.Partitions, View{Epoch: 1, Primary: "s2/b2", Members: []string{"s2/b2", "s3/c2"}})
+	}
+	given := 0
+	for _, change := range Plan(in) {
+		if change.Partition > 0 && contains(change.View.Learners, "s4/d") {
+			given++
+		}
+	}
+	is.True(given > 0)
+}
--- a/placement/merge.go
+++ b/placement/merge.go
@@ -18,12 +18,34 @@
 }
 
 // sourcesLeft returns the sources that the primary of the next view has to take from: none once a learner was offered, as an active primary
-// has taken everything.
+// has taken everything. Where one has lost its disk, and the partition may do without what is lost, all others that are listed take its place:
+// one that was given up, or had another disk in its machine, may be back and hold what only the source had. Else the source is waited for.
 func (s *state) sourcesLeft(p int) []int {
-	if len(s.offered[p]) > 0 {
+	v := &s.views[p]
+	switch {
+	case len(s.offered[p]) > 0:
 		return nil
+	case len(s.filter(v.sources, (*store).lost)) == 0 || !s.mayDoWithout(p):
+		return slices.Clone(v.sources)
 	}
-	return s.filter(s.views[p].sources, func(st *store) bool { return !st.lost() })
+	return slices.DeleteFunc(s.listed(p), func(i int) bool { return s.stores[i].lost() || slices.Contains(v.members, i) })
+}
+
+// awaitsSource reports whether the primary of a partition has still to take what is on a disk that is lost, and cannot do without.
+func (s *state) awaitsSource(p int) bool {
+	v := &s.views[p]
+	return len(s.offered[p]) == 0 && len(s.filter(v.sources, (*store).lost)) > 0 && !s.mayDoWithout(p)
+}
+
+// mayDoWithout reports whether a partition may go on without those of the listed disks that are lost: they are fewer than Copies, so what was
+// acknowledged is on another, or the operator has given up each of them.
+func (s *state) mayDoWithout(p int) bool {
+	lost := s.filter(s.listed(p), (*store).lost)
+	return len(lost) < s.in.Copies || s.allAbandoned(lost)
+}
+
+func (s *state) allAbandoned(list []int) bool {
+	return len(s.filter(list, (*store).abandoned)) == len(list)
 }
 
 // union appends to a list what it lacks of another.
@@ -37,7 +59,7 @@
 }
 
 // merge gives a partition all of whose members' disks are lost a primary that puts together what the others hold. It waits for all of these,
-// and does nothing where more disks are lost than the copies allow for: an old disk may be put back.
+// and does nothing where more disks are lost than the copies allow for, as an old disk may be put back, until the operator has given them up.
 func (s *state) merge(p int) {
 	v := &s.views[p]
 	var survivors []int
@@ -50,12 +72,20 @@
 			survivors = append(survivors, i)
 		}
 	}
-	if len(survivors) == 0 || len(s.listed(p))-len(survivors) >= s.in.Copies {
-		return
+	switch {
+	case len(survivors) > 0 && s.mayDoWithout(p):
+		primary := s.bestPrimary(p, survivors)
+		s.beginWith(p, primary, slices.DeleteFunc(survivors, func(i int) bool { return i == primary }))
+	case len(survivors) == 0 && s.allAbandoned(s.listed(p)):
+		if primary := s.candidate(p, nil, nil, false); primary != none {
+			s.beginWith(p, primary, nil)
+		}
 	}
-	primary := s.bestPrimary(p, survivors)
+}
+
+// beginWith gives a partition without members a primary, which takes what the sources hold.
+func (s *state) beginWith(p, primary int, sources []int) {
 	members := []int{primary}
-	sources := slices.DeleteFunc(survivors, func(i int) bool { return i == primary })
 	learners := s.attach(p, members, slices.Clone(sources))
 	next := view{
 		primary: primary, members: members, learners: learners,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,8 @@
 	Retiring bool
 	// Stalled says that the process is there but its disk finishes nothing, or refuses writes: it counts as gone, and may return.
 	Stalled bool
+	// Abandoned says that the operator has given the disk up: while the store is gone, it counts as lost, however many others are.
+	Abandoned bool
 	// GoneFor is how long the store has had no session, 0 while it is live. A member without a Store is gone for good.
 	GoneFor time.Duration
 }
@@ -86,7 +88,8 @@
 //     gone; when it returns with its disk, the primary makes it equal without another view.
 //   - While there are fewer than Copies members, all members and learners of before stay listed, as learners or holders: each write
 //     that was acknowledged is on the disks of Copies of them. When the disks of all members are lost, and no more than Copies-1 of
-//     those listed, one of the others becomes primary with the rest as sources, once all of these are live.
+//     those listed, one of the others becomes primary with the rest as sources, once all of these are live. Where more are lost, that waits
+//     until the operator has given up each of them; where nothing is left then, the partition begins anew without records.
 //   - Stores that leave or retire give up being primary at once where another member is live. The copies of a retiring one
 //     are replaced, a few at a time.
 //   - When nothing is missing, primaries and then copies are moved for balance, a few at a time; with SharedZones, primaries go
@@ -132,8 +135,8 @@
 func remaining(stores []Store, member string, goneFor time.Duration) int {
 	nodes := map[string]bool{}
 	for _, s := range stores {
-		if s.GoneFor <= goneFor && !s.Retiring && nodeName(s.Member) != nodeName(member) {
-			nodes[nodeName(s.Member)] = true
+		if s.GoneFor <= goneFor && !s.Retiring && NodeName(s.Member) != NodeName(member) {
+			nodes[NodeName(s.Member)] = true
 		}
 	}
 	return len(nodes)
--- a/placement/state.go
+++ b/placement/state.go
@@ -30,11 +30,14 @@
 // eligible reports whether the store may be given something new.
 func (s *store) eligible() bool { return s.lasting() && !s.Leaving }
 
-// lost reports whether the disk is known to be lost: the node is live with another one.
-func (s *store) lost() bool { return s.superseded }
+// lost reports whether the disk is known to be lost: the node is live with another one, or the operator has given it up.
+func (s *store) lost() bool { return s.superseded || s.abandoned() }
+
+// abandoned reports whether the operator has given up the disk of a store that is gone.
+func (s *store) abandoned() bool { return s.Abandoned && !s.live() }
 
 // mayReturn reports whether a store that is gone is worth waiting for as a learner.
-func (s *store) mayReturn() bool { return s.known && !s.Retiring && !s.superseded }
+func (s *store) mayReturn() bool { return s.known && !s.Retiring && !s.lost() }
 
 // view is a View by indices of stores.
 type view struct {
@@ -97,7 +100,7 @@
 	for _, st := range sorted {
 		s.add(st, true)
 		if st.GoneFor == 0 && !st.Stalled {
-			live[nodeName(st.Member)] = true
+			live[NodeName(st.Member)] = true
 		}
 	}
 	for i := range s.stores {
@@ -111,7 +114,7 @@
 	}
 	i := len(s.stores)
 	s.index[st.Member] = i
-	s.stores = append(s.stores, store{Store: st, node: nodeName(st.Member), hash: xxhash.Sum64String(st.Member), known: known})
+	s.stores = append(s.stores, store{Store: st, node: NodeName(st.Member), hash: xxhash.Sum64String(st.Member), known: known})
 	return i
 }
 
@@ -261,8 +264,8 @@
 	return true
 }
 
-// nodeName returns the NodeName of a member.
-func nodeName(member string) string {
+// NodeName returns the NodeName of a member.
+func NodeName(member string) string {
 	if i := strings.LastIndexByte(member, '/'); i >= 0 {
 		return member[:i]
 	}
--- /dev/null
+++ b/sim/system/abandon_test.go
@@ -0,0 +1,47 @@
+package system
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/operator"
+	"liftgauge/internal/protocol"
+)
+
+// TestPartitionsBeginAnewOnceTheirDisksAreGivenUp loses two of four stores for good, one more than F: the partitions that lay on both rest until the operator
+// gives the disks up, and take and deliver messages then.
+func TestPartitionsBeginAnewOnceTheirDisksAreGivenUp(t *testing.T) {
+	play(t, Options{Seed: 33, Stores: 4}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		time.Sleep(bounds.Contact()) // the first table is there
+		stores := w.Of(protocol.RoleStore)
+		lost := []*Process{stores[0], stores[3]} // in one zone, where copies lie that no loss of a zone has to spare
+		for _, p := range lost {
+			is.NoErr(p.LosePower())
+			p.Wipe()
+		}
+		time.Sleep(2 * time.Second)
+		client := operator.New([]string{at(w.controlPrimary().IP, controlPort)}, &http.Transport{DialContext: w.Net.Host(operatorIP).DialContext, DisableKeepAlives: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		status, err := client.Status(ctx)
+		is.NoErr(err)
+		is.True(status.Partitions.Waiting > 0)
+		for _, p := range lost {
+			_, err := client.Abandon(ctx, p.Name)
+			is.NoErr(err)
+		}
+		time.Sleep(bounds.Contact())
+		status, err = client.Status(ctx)
+		is.NoErr(err)
+		is.Equal(status.Partitions.Waiting, 0)
+		is.Equal(status.Partitions.Short, 0)
+		traffic(w, 10*time.Second)
+		is.Equal(w.Judge.Figures().Open, 0)
+		is.Equal(w.Judge.Figures().Refused, 0)
+	})
+}
--- a/test.sh
+++ b/test.sh
@@ -21,7 +21,7 @@
 fixed_seed=20261202
 hunt_with_fresh_draws() { # so many seeds
   local rounds=$1 round seed failed=0 packages
-  mapfile -t packages < <(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{"\n"}}{{end}}{{end}}' ./... | sort -u | grep .)
+  mapfile -t packages < <(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{"\n"}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{"\n"}}{{end}}{{end}}' ./... | sort -u | grep .)
   for ((round = 1; round <= rounds; round++)); do
     seed=$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')
     if RAPID_SEED=$seed go test -count=1 -timeout 15m "${packages[@]}"; then
