--- a/cmd/liftgauge/operator.go
+++ b/cmd/liftgauge/operator.go
@@ -51,7 +51,7 @@
 
 // operatorCommands are the subcommands that ask a running system.
 func operatorCommands() []*cobra.Command {
-	return []*cobra.Command{statusCommand(), describeCommand(), retireCommand(), abandonCommand()}
+	return []*cobra.Command{statusCommand(), describeCommand(), retireCommand(), abandonCommand(), snapshotCommand(), recoverCommand()}
 }
 
 func statusCommand() *cobra.Command {
--- /dev/null
+++ b/cmd/liftgauge/recover_test.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/nodeconfig"
+)
+
+// asProgram has the test binary be the program: tests start it again for processes of their own.
+const asProgram = "LIFTGAUGE_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// patience bounds every wait of these tests; it says nothing about how long things should take.
+const patience = time.Minute
+
+// realProcess is a role as a process of the operating system, on a loopback address of its own. It is started again when it ends.
+type realProcess struct {
+	role, name, ip, data, file string
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	over    bool
+}
+
+// realSystem is a small system of processes.
+type realSystem struct {
+	t         *testing.T
+	ctx       context.Context
+	ports     [4]int // internal, ControlPlane, Frontend, Readiness
+	processes []*realProcess
+	seeds     []string
+}
+
+func startRealSystem(t *testing.T) *realSystem {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	s := &realSystem{t: t, ctx: ctx}
+	for i := range s.ports {
+		l, err := net.Listen("tcp", "127.19.1.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		s.ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	for i, role := range []string{"control", "control", "control", "store", "store", "dispatcher"} {
+		p := &realProcess{role: role, name: fmt.Sprintf("%s-%d", role, i), ip: fmt.Sprintf("127.19.1.%d", 10+i)}
+		p.file = filepath.Join(t.TempDir(), p.name+".toml")
+		if role != "dispatcher" {
+			p.data = t.TempDir()
+		}
+		if role == "control" {
+			s.seeds = append(s.seeds, s.at(p, 1))
+		}
+		s.processes = append(s.processes, p)
+	}
+	for _, p := range s.processes {
+		s.write(p, true)
+		s.start(p)
+	}
+	t.Cleanup(func() {
+		for _, p := range s.processes {
+			p.end(true)
+		}
+	})
+	return s
+}
+
+func (s *realSystem) at(p *realProcess, port int) string {
+	return net.JoinHostPort(p.ip, strconv.Itoa(s.ports[port]))
+}
+
+// write writes the settings of a process.
+func (s *realSystem) write(p *realProcess, bootstrap bool) {
+	serves := map[string]string{"control": nodeconfig.ServesControl, "store": nodeconfig.ServesStorage, "dispatcher": nodeconfig.ServesEdge}[p.role]
+	addresses := map[string]string{
+		"control":    fmt.Sprintf("ControlPlane = %q\n", s.at(p, 1)),
+		"dispatcher": fmt.Sprintf("Frontend = %q\nReadiness = %q\n", s.at(p, 2), s.at(p, 3)),
+	}[p.role]
+	disk := ""
+	if p.data != "" {
+		disk = fmt.Sprintf("CountsForQuorum = true\nDataDir = %q\n", p.data)
+	}
+	content := fmt.Sprintf("NodeName = %q\nServes = [%q]\nIp = %q\nZone = \"zone-%s\"\nRegion = \"r\"\nInternalPortRange = [%d, %d]\n"+
+		"SeedNodes = [%q, %q, %q]\nBootstrap = %v\n%s[BindAddresses]\n%s[Limits]\nMemoryMb = 284\nDiskMb = 64\n[FaultTolerance]\nMachines = 1\n"+
+		"[CloudApi]\nAddress = \"127.19.1.1:1\"\nRatePerS = 47.0\nMaxLagMs = 800\n",
+		p.name, serves, p.ip, p.name, s.ports[0], s.ports[0]+15, s.seeds[0], s.seeds[1], s.seeds[2], bootstrap, disk, addresses)
+	if err := os.WriteFile(p.file, []byte(content), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// start runs the process, and starts it again each time that it ends by itself.
+func (s *realSystem) start(p *realProcess) {
+	command := exec.Command(os.Args[0], p.role)
+	command.Env = append(os.Environ(), asProgram+"=1", nodeconfig.EnvironmentVariable+"="+p.file)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if err := command.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	p.command, p.over = command, false
+	go func() {
+		_ = command.Wait()
+		p.mutex.Lock()
+		again := !p.over && p.command == command
+		p.mutex.Unlock()
+		if again {
+			s.start(p)
+		}
+	}()
+}
+
+// end kills the process; it stays down.
+func (p *realProcess) end(over bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.over = over
+	if p.command != nil {
+		_ = p.command.Process.Kill()
+	}
+}
+
+// eventually asks again and again until a condition holds.
+func (s *realSystem) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			s.t.Fatalf("waited for %s in vain", what)
+		}
+	}
+}
+
+func (s *realSystem) status(method, url string, header http.Header, body string) int {
+	request, err := http.NewRequestWithContext(s.ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if host := header.Get("Host"); host != "" {
+		request.Host = host
+	}
+	response, err := (&http.Client{Timeout: 5 * time.Second}).Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// replace gives a configuration until it is taken.
+func (s *realSystem) replace(base int) {
+	s.t.Helper()
+	body := fmt.Sprintf(`{"Revision":%d,"Routes":[{"Name":"r","Hostname":"h.example","PathPrefix":"/r/","Type":"async","TimeoutMs":500,"TargetLatencyMs":80,`+
+		`"Priority":1,"Backend":"svc","MaxAttempts":6,"Fifo":true,"RetentionS":90.0,"TargetStartMs":500}],"Services":[{"Name":"svc",`+
+		`"HealthCheckPath":"/health","MaxConnections":10,"RatePerS":0.0,"Static":null}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,`+
+		`"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, base+1)
+	header := http.Header{"X-Base-Version": {strconv.Itoa(base)}}
+	s.eventually("the configuration to be taken", func() bool {
+		for _, seed := range s.seeds {
+			if s.status(http.MethodPost, "http://"+seed+"/config/replace", header, body) == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// accept hands messages in until each was accepted.
+func (s *realSystem) accept(edge *realProcess, ids ...string) {
+	s.t.Helper()
+	for _, id := range ids {
+		header := http.Header{"Host": {"h.example"}, "X-Request-Id": {id}, "X-Ordering-Key": {"k"}}
+		s.eventually("message "+id+" to be accepted", func() bool {
+			return s.status(http.MethodPost, "http://"+s.at(edge, 2)+"/r/x", header, "level 3") == http.StatusAccepted
+		})
+	}
+}
+
+// TestRecoverCommand takes the disks of two of three real control processes. The command shows what it would do and does nothing, then founds
+// control anew: the configuration is in force, orders are taken and messages accepted. A snapshot of before is read beside it.
+func TestRecoverCommand(t *testing.T) {
+	is := is.New(t)
+	s := startRealSystem(t)
+	control := strings.Join(s.seeds, ",")
+	s.replace(0)
+	edge := s.processes[len(s.processes)-1]
+	s.accept(edge, "before-1", "before-2")
+	file := filepath.Join(t.TempDir(), "snapshot")
+	content, err := run("snapshot", "--control", control)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(file, []byte(content), 0o600))
+
+	_, err = run("recover", "--control", control)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "it needs no recovery"))
+	for _, p := range s.processes[:2] {
+		p.end(true)
+		p.data = t.TempDir()
+		s.write(p, false)
+		s.start(p)
+	}
+	s.write(s.processes[2], false)
+	var out string
+	s.eventually("a plan", func() bool {
+		out, err = run("recover", "--control", control)
+		return err == nil && strings.Contains(out, "configuration: revision 1")
+	})
+	is.True(strings.Contains(out, "all that was acknowledged, from control-2/control (revision 1, 1 orders taken)"))
+	is.True(strings.Contains(out, "control-0/control"))
+	is.True(strings.HasSuffix(out, "nothing was done; to found control in this way, give --found as well\n"))
+	out, err = run("recover", "--from", file, "--control", control)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "records: snapshot of control-"))
+	_, err = run("recover", "--from", s.processes[0].file, "--control", control)
+	is.True(err != nil && strings.Contains(err.Error(), "this is no snapshot of control"))
+
+	out, err = run("recover", "--found", "--control", control)
+	if err != nil {
+		t.Fatal(err, out)
+	}
+	is.True(strings.Contains(out, "control is founded anew: generation 1, primary control-2/control"))
+	out, err = run("describe", "--control", control)
+	is.NoErr(err)
+	is.True(strings.Contains(out, `"Revision":1`))
+	s.replace(1)
+	s.accept(edge, "after-1", "before-1") // a repeat is known
+}
+
+func TestRecoverWithoutAControlProcess(t *testing.T) {
+	is := is.New(t)
+	_, err := run("recover", "--control", "127.0.0.1:1", "--timeout", "100ms")
+	is.True(err != nil)
+	_, err = run("snapshot", "--control", "127.0.0.1:1", "--timeout", "100ms")
+	is.True(err != nil)
+	_, err = run("recover", "--from", filepath.Join(t.TempDir(), "none"), "--control", "127.0.0.1:1")
+	is.True(errors.Is(err, os.ErrNotExist))
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -18,6 +18,7 @@
 const (
 	mostRedirects  = 2
 	callTimeout    = 2 * time.Second
+	slowTimeout    = 30 * time.Second
 	firstPause     = 100 * time.Millisecond
 	lastPause      = time.Second
 	mostAnswer     = 64 << 20
@@ -28,14 +29,19 @@
 type Client struct {
 	addresses []string
 	http      http.Client
+	slow      http.Client // for calls that write or read the whole state
 }
 
 // New returns a client of the control processes with these ControlPlane addresses. A nil transport is one of the client's own.
 func New(addresses []string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{ResponseHeaderTimeout: callTimeout}
+		transport = &http.Transport{ResponseHeaderTimeout: slowTimeout}
+	}
+	return &Client{
+		addresses: addresses,
+		http:      http.Client{Transport: transport, Timeout: callTimeout, CheckRedirect: checkRedirect},
+		slow:      http.Client{Transport: transport, Timeout: slowTimeout, CheckRedirect: checkRedirect},
 	}
-	return &Client{addresses: addresses, http: http.Client{Transport: transport, Timeout: callTimeout, CheckRedirect: checkRedirect}}
 }
 
 func checkRedirect(_ *http.Request, via []*http.Request) error {
@@ -99,6 +105,10 @@
 
 // callOne sends a request to one address. The error is a *RefusedError if the answer is a clear no.
 func (c *Client) callOne(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
+	return callWith(ctx, &c.http, method, address, path, body)
+}
+
+func callWith(ctx context.Context, client *http.Client, method, address, path string, body []byte) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -106,7 +116,7 @@
 	if len(body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/recovery/plan_test.go
@@ -0,0 +1,148 @@
+package recovery
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/protocol"
+	"liftgauge/internal/snapshot"
+	"liftgauge/replication"
+)
+
+// viewOf is a view of disks named machine/1, of which the first so many are members.
+func viewOf(epoch uint64, members int, machines ...string) replication.ControlView {
+	v := replication.ControlView{View: replication.View{Epoch: epoch}}
+	for i, m := range machines {
+		id := m + "/1"
+		if i < members {
+			v.Members = append(v.Members, id)
+		}
+		v.Witnesses = append(v.Witnesses, id)
+		v.Peers = append(v.Peers, replication.Peer{Member: id, Address: m})
+	}
+	v.Primary = v.Members[0]
+	return v
+}
+
+// account is of a process that belongs to a view.
+func account(machine, disk string, v replication.ControlView) Account {
+	a := Account{Node: machine + "/control", Name: machine, Member: machine + "/" + disk, Address: machine, ControlPlane: machine + ":1",
+		HighestEpoch: v.Epoch, Installed: v, Configuration: Known{Version: protocol.ItemVersion{Term: 3}, Count: 12}, Partitions: Known{Count: 64}}
+	if v.IsMember(a.Member) {
+		a.Records = &Records{Joined: v.Epoch, Revision: 12, Orders: 5}
+	}
+	return a
+}
+
+// empty is of a process with an empty disk, that has heard of a view.
+func empty(machine string, v replication.ControlView) Account {
+	a := account(machine, "2", replication.ControlView{})
+	a.HighestEpoch = 0
+	a.Heard = Heard{Epoch: v.Epoch, Members: v.Members, Witnesses: v.Witnesses}
+	return a
+}
+
+func TestMajorityOfDisksLost(t *testing.T) {
+	is := is.New(t)
+	v := viewOf(7, 3, "a", "b", "c", "d", "e")
+	p, err := Make([]Account{empty("a", v), account("b", "1", v), empty("d", v), empty("e", v)}, Options{})
+	is.NoErr(err)
+	is.Equal(p.Founder.Name, "b")
+	is.Equal(p.Source.Name, "b")
+	is.Equal(len(p.Join), 3)
+	is.Equal(p.View, replication.FoundAnew(replication.Peer{Member: "b/1", Address: "b"}, 7+replication.RecoveryEpochGap, 1))
+	text := strings.Join(p.Findings, "\n")
+	is.True(strings.Contains(text, "all that was acknowledged, from b/control (revision 12, 5 orders taken)"))
+	is.True(strings.Contains(text, "witness c/1 does not answer"))
+	is.True(strings.Contains(text, "witness a/1: its disk is lost"))
+}
+
+// A survivor that an earlier view left out may lack what came after.
+func TestRecordsOfAnEarlierView(t *testing.T) {
+	is := is.New(t)
+	before, v := viewOf(7, 3, "a", "b", "c"), viewOf(9, 2, "a", "b", "c")
+	p, err := Make([]Account{empty("a", v), empty("b", v), account("c", "1", before)}, Options{})
+	is.NoErr(err)
+	is.Equal(p.Source.Name, "c")
+	is.True(strings.Contains(strings.Join(p.Findings, "\n"), "up to epoch 7 of 9"))
+}
+
+// All members are gone, and a majority of the witnesses is left: nobody can take over.
+func TestNoMemberLeft(t *testing.T) {
+	is := is.New(t)
+	v := viewOf(7, 2, "a", "b", "c", "d", "e")
+	left := []Account{account("c", "1", v), account("d", "1", v), account("e", "1", v)}
+	_, err := Make(append(left, empty("a", v)), Options{})
+	is.True(errors.Is(err, ErrMayLive)) // b may come back with everything
+	p, err := Make(append(left, empty("a", v), empty("b", v)), Options{})
+	is.NoErr(err)
+	is.True(p.Source == nil)
+	_, err = Make(append(left, empty("a", v)), Options{Lost: []string{"b"}})
+	is.NoErr(err)
+}
+
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	v := viewOf(7, 2, "a", "b", "c")
+	a, b, c := account("a", "1", v), account("b", "1", v), account("c", "1", v)
+	for _, accounts := range [][]Account{{a, b, c}, {a, c}, {a, b}} {
+		_, err := Make(accounts, Options{Lost: []string{"b"}})
+		is.True(errors.Is(err, ErrControlLive))
+	}
+	_, err := Make([]Account{a}, Options{Lost: []string{"b"}})
+	is.NoErr(err) // c alone is no majority
+	_, err = Make([]Account{a}, Options{})
+	is.True(errors.Is(err, ErrMayLive))
+	is.True(strings.Contains(err.Error(), "b/1, c/1"))
+
+	diskless := Account{Node: "x/control", Name: "x"}
+	_, err = Make([]Account{diskless}, Options{})
+	is.True(errors.Is(err, ErrNobody))
+	_, err = Make(nil, Options{})
+	is.True(errors.Is(err, ErrNobody))
+
+	_, err = Make([]Account{a, empty("b", v), empty("c", v)}, Options{At: "nowhere"})
+	is.True(errors.Is(err, ErrNoSuchNode))
+	newer := empty("b", v)
+	newer.Configuration.Version.Term++
+	_, err = Make([]Account{a, newer, empty("c", v)}, Options{})
+	is.True(errors.Is(err, ErrStale))
+
+	unknowing := Account{Node: "a/control", Name: "a", Member: "a/2", Address: "a"}
+	_, err = Make([]Account{unknowing}, Options{})
+	is.True(errors.Is(err, ErrNothing))
+	from := &snapshot.Snapshot{Node: "old/control", TakenAt: time.Unix(0, 0), Epoch: 50, Generation: 4}
+	p, err := Make([]Account{unknowing}, Options{From: from})
+	is.NoErr(err)
+	is.Equal(p.View.Generation, uint64(5))
+	is.Equal(p.View.Epoch, uint64(50+replication.RecoveryEpochGap))
+	is.True(strings.Contains(strings.Join(p.Findings, "\n"), "not confirmed by a majority"))
+}
+
+// A view of a later generation counts more than one of a higher epoch.
+func TestGenerationsGoBeforeEpochs(t *testing.T) {
+	is := is.New(t)
+	old, v := viewOf(3000, 3, "a", "b", "c"), viewOf(1031, 3, "a", "b", "c")
+	v.Generation = 1
+	p, err := Make([]Account{account("a", "1", old), account("b", "1", v)}, Options{Lost: []string{"c", "a"}})
+	is.True(errors.Is(err, ErrControlLive)) // a answers: with b it is a majority of the newest view
+	is.True(p == nil)
+	p, err = Make([]Account{account("b", "1", v)}, Options{Lost: []string{"c", "a"}})
+	is.NoErr(err)
+	is.Equal(p.View.Generation, uint64(2))
+}
+
+// A store that does not answer is named: it may have gone further than anybody knows.
+func TestSilentStoresAreNamed(t *testing.T) {
+	is := is.New(t)
+	v := viewOf(7, 3, "a", "b", "c")
+	a := account("a", "1", v)
+	a.Stores, a.Silent = []string{"s1/1", "s2/1"}, []string{"s2/1"}
+	p, err := Make([]Account{a, empty("b", v), empty("c", v)}, Options{})
+	is.NoErr(err)
+	is.True(strings.Contains(strings.Join(p.Findings, "\n"), "store s2/1 does not answer"))
+}
--- a/internal/roles/control/daemon.go
+++ b/internal/roles/control/daemon.go
@@ -40,6 +40,8 @@
 	ending       bool          // a planned end has begun
 	witnessUntil time.Duration // a planned end waits no longer to be left out of the witnesses
 	ended        chan struct{} // closed when the loop ends
+	founding     bool          // the state of a new generation is being written: this process takes no part in the present one any more
+	foundedAnew  chan struct{} // closed when that is on disk
 }
 
 // reason is the log field of an error, without the stack that zap.Error would add.
@@ -50,7 +52,7 @@
 // tick drives everything that depends on time.
 func (d *daemon) tick() {
 	now := d.now()
-	if d.elector != nil {
+	if d.elector != nil && !d.founding {
 		d.act(d.elector.Tick(now))
 		d.replica.Tick(now)
 		d.keepLinks(d.elector.View())
--- a/internal/roles/control/membership.go
+++ b/internal/roles/control/membership.go
@@ -10,6 +10,9 @@
 
 // act does what the elector asks for, in order.
 func (d *daemon) act(actions []replication.Action) {
+	if d.founding {
+		return
+	}
 	for _, action := range actions {
 		switch a := action.(type) {
 		case replication.SendElection:
@@ -28,6 +31,9 @@
 			d.logger.Info("control: no longer primary", zap.Uint64("epoch", a.Epoch))
 			d.replica.StepDown()
 			d.deactivate()
+		case replication.JoinedGeneration:
+			d.logger.Warn("control: the group was founded anew by an operator; what this disk has of before counts no more",
+				zap.Uint64("generation", a.Generation))
 		case replication.Answer:
 			a.Call(a.Stands)
 		}
@@ -80,7 +86,7 @@
 
 // receiveElection takes a frame of another control process.
 func (d *daemon) receiveElection(f frame) {
-	if d.elector == nil || f.to != "" && f.to != d.self.Member {
+	if d.elector == nil || d.founding || f.to != "" && f.to != d.self.Member {
 		return
 	}
 	d.peers.controlPlane[f.address] = f.controlPlane
@@ -113,7 +119,7 @@
 
 // receiveReplication takes a message of another replica.
 func (d *daemon) receiveReplication(conn *rpc.Conn, f protocol.ReplicationFrame) {
-	if d.replica == nil || f.Group != controlGroup || f.To != d.self.Member {
+	if d.replica == nil || d.founding || f.Group != controlGroup || f.To != d.self.Member {
 		return
 	}
 	m, err := replication.DecodeMessage(f.Body)
--- a/internal/roles/control/operator.go
+++ b/internal/roles/control/operator.go
@@ -36,6 +36,7 @@
 	mux.HandleFunc("GET /abandon/{node}/describe", a.describeAbandonment)
 	mux.HandleFunc("GET /status", a.status)
 	mux.HandleFunc("GET /metrics", a.metrics)
+	a.routeRecovery(mux)
 	return mux
 }
 
--- /dev/null
+++ b/internal/roles/control/recovery_test.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/agent"
+	"liftgauge/internal/operator"
+	"liftgauge/internal/protocol"
+	"liftgauge/internal/recovery"
+	"liftgauge/internal/snapshot"
+	"liftgauge/replication"
+)
+
+// client is a client of all control processes of the cluster.
+func (c *cluster) client() *operator.Client {
+	var addresses []string
+	for _, m := range c.machines {
+		addresses = append(addresses, m.settings.BindAddresses.ControlPlane)
+	}
+	return operator.New(addresses, nil)
+}
+
+// loseDisks has machines come back with empty disks, all at once.
+func (c *cluster) loseDisks(lost ...*machine) {
+	c.t.Helper()
+	for _, m := range lost {
+		c.kill(m)
+		c.wipe(m)
+	}
+	c.start(lost...)
+}
+
+// awaitHeard waits until every running control process has heard of a table and a revision.
+func (c *cluster) awaitHeard(partitions int, revision uint64) {
+	c.t.Helper()
+	for _, m := range c.machines {
+		if m.process != nil {
+			c.await(m.process.agent, "the newest state", func(v *agent.View) bool {
+				return len(v.Partitions.Partitions) == partitions && revisionOf(v.Configuration) == revision
+			})
+		}
+	}
+}
+
+// recover plans and carries a recovery out, and starts the founder again as the platform does.
+func (c *cluster) recover(o recovery.Options, file []byte) *recovery.Plan {
+	c.t.Helper()
+	accounts, err := c.client().Accounts(c.ctx)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	plan, err := recovery.Make(accounts, o)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	founder := c.machines[plan.Founder.Name]
+	if err := c.client().Found(c.ctx, plan, file); err != nil {
+		c.t.Fatal(err)
+	}
+	select {
+	case <-founder.process.foundedAnew:
+	case <-c.ctx.Done():
+		c.t.Fatal("the founder has not written its state")
+	}
+	c.kill(founder)
+	c.start(founder)
+	if _, err := c.client().AwaitFounded(c.ctx, plan); err != nil {
+		c.t.Fatal(err)
+	}
+	return plan
+}
+
+// isWhole waits until all control processes are witnesses of the generation, and orders are taken.
+func (c *cluster) isWhole(generation uint64) {
+	c.t.Helper()
+	c.eventually("all to be witnesses of the generation", func() bool {
+		whole := false
+		c.primary().onLoop(c, func(d *daemon) {
+			v := d.elector.View()
+			whole = v.Generation == generation && len(v.Witnesses) == len(c.machines) && len(v.Members) == min(len(c.machines), 3)
+		})
+		return whole
+	})
+}
+
+const recoveredPartitions = fewestPartitions
+
+// startRecoverable starts three control processes with two stores and a dispatcher, and has two orders taken.
+func startRecoverable(t *testing.T) (c *cluster, edge *agent.Agent) {
+	c = newCluster(t, 3)
+	c.startAll()
+	c.startStore(11, "d1")
+	c.startStore(12, "d1")
+	edge = c.startDispatcher(21)
+	is := is.New(t)
+	is.Equal(c.replace(c.machine(1), 0, configurationOf(1, "one")), http.StatusOK)
+	is.Equal(c.replace(c.machine(1), 1, configurationOf(2, "two")), http.StatusOK)
+	c.awaitHeard(recoveredPartitions, 2)
+	c.noBootstrap()
+	return c, edge
+}
+
+// Of three processes two lose their disks: no command of the ordinary kind mends that. What the survivor has goes on, the orders that it took
+// are known, partitions begin epochs above all that any store may have followed, and a returned dispatcher hears of later orders.
+func TestControlIsFoundedAnewOnASurvivor(t *testing.T) {
+	is := is.New(t)
+	c, edge := startRecoverable(t)
+	var before []protocol.PartitionView
+	primary := c.primary()
+	primary.onLoop(c, func(d *daemon) { before = slices.Clone(d.primary.model.partitions) })
+	survivor := c.machine(2)
+	c.loseDisks(c.machine(1), c.machine(3))
+	c.awaitHeard(recoveredPartitions, 2)
+
+	plan := c.recover(recovery.Options{}, nil)
+	is.Equal(plan.Founder.Name, survivor.settings.NodeName)
+	is.True(slices.Contains(plan.Findings, "records: all that was acknowledged, from control-2/control (revision 2, 2 orders taken)"))
+	c.isWhole(1)
+	revision, text := c.described(c.machine(1))
+	is.Equal(revision, uint64(2))
+	is.Equal(text, string(configurationOf(2, "two")))
+	is.Equal(c.replace(c.machine(3), 0, configurationOf(1, "one")), http.StatusOK) // taken before, and still known
+	is.Equal(c.replace(c.machine(3), 1, configurationOf(2, "rival")), http.StatusPreconditionFailed)
+	is.Equal(c.replace(c.machine(3), 2, configurationOf(3, "three")), http.StatusOK)
+	c.await(edge, "the third configuration", func(v *agent.View) bool { return revisionOf(v.Configuration) == 3 })
+	c.primary().onLoop(c, func(d *daemon) {
+		is.Equal(len(d.primary.model.partitions), len(before))
+		for n, v := range d.primary.model.partitions {
+			is.True(v.Epoch >= before[n].Epoch+replication.RecoveryEpochGap)
+		}
+	})
+}
+
+// All disks of control are lost while stores and dispatchers run: what everybody has heard of is what control begins with.
+func TestControlIsFoundedAnewFromWhatOthersKnow(t *testing.T) {
+	is := is.New(t)
+	c, edge := startRecoverable(t)
+	c.loseDisks(c.machine(1), c.machine(2), c.machine(3))
+	c.awaitHeard(recoveredPartitions, 2)
+	plan := c.recover(recovery.Options{At: "control-3"}, nil)
+	is.Equal(plan.Founder.Name, "control-3")
+	is.True(plan.Source == nil)
+	c.isWhole(1)
+	revision, _ := c.described(c.machine(1))
+	is.Equal(revision, uint64(2))
+	is.Equal(c.replace(c.machine(1), 0, configurationOf(1, "one")), http.StatusPreconditionFailed) // as was said before
+	is.Equal(c.replace(c.machine(1), 2, configurationOf(3, "three")), http.StatusOK)
+	c.await(edge, "the third configuration", func(v *agent.View) bool { return revisionOf(v.Configuration) == 3 })
+	c.primary().onLoop(c, func(d *daemon) { is.Equal(len(d.primary.model.partitions), recoveredPartitions) })
+
+	// It can be done again, in the next generation.
+	c.loseDisks(c.machine(1), c.machine(2), c.machine(3))
+	c.awaitHeard(recoveredPartitions, 3)
+	c.recover(recovery.Options{}, nil)
+	is.Equal(c.replace(c.machine(1), 3, configurationOf(4, "four")), http.StatusOK)
+}
+
+// A snapshot is taken while orders run, and control is founded from it on machines with other addresses, where nobody knows anything.
+func TestControlIsFoundedFromASnapshot(t *testing.T) {
+	is := is.New(t)
+	c, _ := startRecoverable(t)
+	file, err := c.client().Snapshot(c.ctx)
+	is.NoErr(err)
+	taken, err := snapshot.Decode(file)
+	is.NoErr(err)
+	is.True(taken.Confirmed)
+	is.Equal(c.replace(c.machine(1), 2, configurationOf(3, "later")), http.StatusOK)
+	var partitions []protocol.PartitionView
+	c.primary().onLoop(c, func(d *daemon) { partitions = slices.Clone(d.primary.model.partitions) })
+
+	other := newCluster(t, 3)
+	other.noBootstrap()
+	other.startAll()
+	plan := other.recover(recovery.Options{From: taken}, file)
+	other.isWhole(1)
+	is.True(plan.View.Epoch > taken.Epoch)
+	revision, _ := other.described(other.machine(1))
+	is.Equal(revision, uint64(2))
+	is.Equal(other.replace(other.machine(1), 0, configurationOf(1, "one")), http.StatusOK)
+	is.Equal(other.replace(other.machine(1), 2, configurationOf(3, "three")), http.StatusOK)
+	other.primary().onLoop(other, func(d *daemon) {
+		for n, v := range d.primary.model.partitions {
+			is.Equal(v.Members, partitions[n].Members)
+		}
+	})
+}
+
+// Nothing is founded beside a control that works, nor where it may work among those that do not answer.
+func TestNothingIsFoundedBesideAControlThatMayLive(t *testing.T) {
+	is := is.New(t)
+	c, _ := startRecoverable(t)
+	make := func(o recovery.Options) error {
+		accounts, err := c.client().Accounts(c.ctx)
+		is.NoErr(err)
+		_, err = recovery.Make(accounts, o)
+		return err
+	}
+	is.True(errors.Is(make(recovery.Options{}), recovery.ErrControlLive))
+	c.kill(c.machine(1))
+	c.kill(c.machine(2))
+	is.True(errors.Is(make(recovery.Options{}), recovery.ErrMayLive))
+	is.True(errors.Is(make(recovery.Options{Lost: []string{"control-3"}}), recovery.ErrMayLive))
+	is.NoErr(make(recovery.Options{Lost: []string{"control-1", "control-2"}}))
+}
+
+// A disk of before that is put back after all takes no part in what was before: it joins as a newcomer.
+func TestOldDiskIsPutBackAfterARecovery(t *testing.T) {
+	is := is.New(t)
+	c, _ := startRecoverable(t)
+	old := []*machine{c.machine(1), c.machine(3)}
+	for _, m := range old {
+		c.kill(m)
+	}
+	c.start(c.add(4)) // one disk alone is too few to act
+	c.recover(recovery.Options{Lost: []string{"control-1", "control-3"}}, nil)
+	c.start(old...)
+	c.isWhole(1)
+	is.Equal(c.replace(old[0], 2, configurationOf(3, "three")), http.StatusOK)
+	revision, _ := c.described(old[1])
+	is.Equal(revision, uint64(3))
+}
+
+// A founder refuses a plan that was made before it went on, or for another disk.
+func TestOutdatedPlanIsRefused(t *testing.T) {
+	is := is.New(t)
+	c, _ := startRecoverable(t)
+	c.loseDisks(c.machine(1), c.machine(3))
+	c.awaitHeard(recoveredPartitions, 2)
+	accounts, err := c.client().Accounts(c.ctx)
+	is.NoErr(err)
+	plan, err := recovery.Make(accounts, recovery.Options{})
+	is.NoErr(err)
+	low := *plan
+	low.View = replication.FoundAnew(replication.Peer{Member: plan.Founder.Member, Address: plan.Founder.Address}, 1, 1)
+	low.Join = nil
+	var refused *operator.RefusedError
+	is.True(errors.As(c.client().Found(c.ctx, &low, nil), &refused))
+	is.Equal(refused.Status, http.StatusConflict)
+	other := *plan
+	other.View = replication.FoundAnew(replication.Peer{Member: "control-2/other", Address: plan.Founder.Address}, plan.View.Epoch, 1)
+	other.Join = nil
+	is.True(errors.As(c.client().Found(c.ctx, &other, nil), &refused))
+	is.Equal(refused.Status, http.StatusConflict)
+}
--- a/internal/roles/control/run.go
+++ b/internal/roles/control/run.go
@@ -66,7 +66,7 @@
 func start(ctx context.Context, o options) (*process, error) {
 	d := &daemon{
 		settings: o.settings, logger: o.logger, environment: o.environment, loop: newEventLoop(), peers: newPeerBook(), replyTo: make(map[string]*rpc.Conn),
-		ended: make(chan struct{}), orderLimit: orderLimit(logBytes(o.settings)),
+		ended: make(chan struct{}), foundedAnew: make(chan struct{}), orderLimit: orderLimit(logBytes(o.settings)),
 	}
 	p := &process{daemon: d, grace: graceTime(o.settings), patience: handOverTime, initial: o.settings}
 	d.self.Address = o.settings.InternalAddress(protocol.RoleControl)
@@ -165,7 +165,13 @@
 	watchContext, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
 	p.watchSettings(watchContext, p.initial)
-	<-ctx.Done()
+	select {
+	case <-p.foundedAnew:
+		grace, cancel := context.WithTimeout(context.Background(), p.grace)
+		defer cancel()
+		return multierr.Append(ErrFoundedAnew, p.close(grace))
+	case <-ctx.Done():
+	}
 	p.logger.Info("control: planned end begins")
 	grace, cancel := context.WithTimeout(context.Background(), p.grace)
 	defer cancel()
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,158 @@
+// Package snapshot is the file format of a copy of control's state: the records of control's group with where and when they were read.
+//
+// A file begins with magic and a format number, then a body of fields in the encoding of encoding/binary, and closes with a CRC-32C of all before.
+package snapshot
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"liftgauge/replication"
+)
+
+const (
+	magic  = "liftgauge control snapshot\n"
+	format = 1
+	// MostBytes bounds a snapshot: a configuration of 15 MB with its partition table and orders is far below it.
+	MostBytes = 256 << 20
+
+	checksumBytes = 4
+)
+
+// The errors of Decode. Each names the remedy.
+var (
+	ErrNotASnapshot = errors.New("this is no snapshot of control: make one with liftgauge snapshot > FILE")
+	ErrDamaged      = errors.New("the snapshot is cut off or damaged: take another copy of the file")
+	ErrNewerFormat  = errors.New("the snapshot was made by a later version: read it with that one")
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Snapshot is the state of control's group.
+type Snapshot struct {
+	Node       string // key of the process that it was read at
+	TakenAt    time.Time
+	Epoch      uint64 // of the view
+	Generation uint64
+	Confirmed  bool // a majority has confirmed that nothing newer was acknowledged
+	Records    []replication.Record
+}
+
+// Encode returns the file.
+func (s *Snapshot) Encode() []byte {
+	b := append([]byte(magic), format)
+	b = appendText(b, []byte(s.Node))
+	b = binary.AppendVarint(b, s.TakenAt.UnixMilli())
+	b = binary.AppendUvarint(b, s.Epoch)
+	b = binary.AppendUvarint(b, s.Generation)
+	b = binary.AppendUvarint(b, flag(s.Confirmed))
+	b = binary.AppendUvarint(b, uint64(len(s.Records)))
+	for _, r := range s.Records {
+		b = appendText(b, []byte(r.Key))
+		b = binary.AppendUvarint(b, r.Version)
+		b = appendText(b, r.Value)
+	}
+	return checked(b)
+}
+
+// checked appends the checksum of a body.
+func checked(body []byte) []byte {
+	return binary.BigEndian.AppendUint32(body, crc32.Checksum(body, castagnoli))
+}
+
+// Decode reads a file.
+func Decode(file []byte) (*Snapshot, error) {
+	if !bytes.HasPrefix(file, []byte(magic)) {
+		return nil, ErrNotASnapshot
+	}
+	if len(file) < len(magic)+1+checksumBytes {
+		return nil, ErrDamaged
+	}
+	body, sum := file[:len(file)-checksumBytes], file[len(file)-checksumBytes:]
+	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(sum) {
+		return nil, ErrDamaged
+	}
+	if body[len(magic)] > format {
+		return nil, ErrNewerFormat
+	}
+	f := fields{rest: body[len(magic)+1:]}
+	s := &Snapshot{Node: string(f.text()), TakenAt: time.UnixMilli(f.signed()), Epoch: f.number(), Generation: f.number(), Confirmed: f.number() != 0}
+	for range f.count() {
+		s.Records = append(s.Records, replication.Record{Key: string(f.text()), Version: f.number(), Value: f.text()})
+	}
+	if f.bad {
+		return nil, ErrDamaged
+	}
+	return s, nil
+}
+
+// Read reads a file of at most MostBytes.
+func Read(r io.Reader) (*Snapshot, error) {
+	file, err := io.ReadAll(io.LimitReader(r, MostBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the snapshot")
+	}
+	if len(file) > MostBytes {
+		return nil, ErrNotASnapshot
+	}
+	return Decode(file)
+}
+
+func flag(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func appendText(b, text []byte) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(text))), text...)
+}
+
+// fields takes fields off the body of a file. After the first that does not fit, bad is set and all others are zero.
+type fields struct {
+	rest []byte
+	bad  bool
+}
+
+func (f *fields) take(size int) {
+	if size <= 0 {
+		f.rest, f.bad = nil, true
+		return
+	}
+	f.rest = f.rest[size:]
+}
+
+func (f *fields) number() uint64 {
+	n, size := binary.Uvarint(f.rest)
+	f.take(size)
+	return n
+}
+
+func (f *fields) signed() int64 {
+	n, size := binary.Varint(f.rest)
+	f.take(size)
+	return n
+}
+
+// count reads the length of a list whose elements take a byte at least.
+func (f *fields) count() uint64 {
+	n := f.number()
+	if n > uint64(len(f.rest)) {
+		f.rest, f.bad = nil, true
+		return 0
+	}
+	return n
+}
+
+func (f *fields) text() []byte {
+	n := f.count()
+	text := f.rest[:n:n]
+	f.rest = f.rest[n:]
+	return text
+}
--- /dev/null
+++ b/lab/mutants/recovery.go
@@ -0,0 +1,96 @@
+package mutants
+
+// recoveryPromises are the promises of founding control anew.
+var recoveryPromises = []Mutant{
+	{
+		Promise: "a primary of an earlier generation is told of the present one", File: "replication/tenure.go",
+		Old: "if m.Epoch < installed.Epoch && installed.Generation > 0 {", New: "if false {",
+		Package: "./replication",
+	},
+	{
+		Promise: "a founder does not begin by hearsay", File: "replication/elector.go",
+		Old: " && v.Primary != e.o.Self.Member {", New: " {",
+		Package: "./replication",
+	},
+	{
+		Promise: "views stay of their generation", File: "replication/ballot.go",
+		Old: "\tb.view.Generation = b.base.Generation\n", New: "",
+		Package: "./replication",
+	},
+	{
+		Promise: "a founder draws no version twice", File: "replication/generation.go",
+		Old: "Reserved: versionBlock, ", New: "",
+		Package: "./replication",
+	},
+	{
+		Promise: "a generation goes before promises of an earlier one", File: "replication/generation.go",
+		Old: "\te.writer.changed(e, true)\n", New: "",
+		Package: "./replication",
+	},
+	{
+		Promise: "nothing is founded where control may have a majority", File: "internal/recovery/plan.go",
+		Old: "len(s.voters) > 0 && len(silent) >= majority", New: "false && len(silent) >= majority",
+		Package: "./internal/recovery",
+	},
+	{
+		Promise: "nothing is founded where a silent member would have a majority", File: "internal/recovery/plan.go",
+		Old: ">= majority && len(silent) > 0", New: ">= majority && len(silent) < 0",
+		Package: "./internal/recovery",
+	},
+	{
+		Promise: "nothing is founded beside a control that works", File: "internal/recovery/plan.go",
+		Old: "\t\treturn ErrControlLive\n", New: "\t\treturn nil\n",
+		Package: "./internal/recovery",
+	},
+	{
+		Promise: "a founder knows the newest of what everybody heard", File: "internal/recovery/plan.go",
+		Old: "return nil, nil, errors.Wrap(ErrStale, founder.Node)", New: "continue",
+		Package: "./internal/recovery",
+	},
+	{
+		Promise: "partitions begin far above what stores may have followed", File: "internal/roles/control/recovered.go",
+		Old: "+= replication.RecoveryEpochGap", New: "+= 1",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a founder keeps the orders that were taken", File: "internal/roles/control/recovered.go",
+		Old: "records = append(records, takenRecord(hash, m.taken[hash]))", New: "_ = hash",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a founder refuses a plan that it has gone beyond", File: "internal/roles/control/recovery.go",
+		Old: "case d.founding || !d.elector.MayFound(view):", New: "case d.founding:",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a source that lost its disk is waited for beyond F", File: "placement/merge.go",
+		Old: "case len(s.filter(v.sources, (*store).lost)) == 0 || !s.mayDoWithout(p):", New: "case len(s.filter(v.sources, (*store).lost)) == 0:",
+		Package: "./placement",
+	},
+	{
+		Promise: "what is listed beside a lost source takes its place", File: "placement/merge.go",
+		Old:     "return slices.DeleteFunc(s.listed(p), func(i int) bool { return s.stores[i].lost() || slices.Contains(v.members, i) })",
+		New:     "return s.filter(v.sources, func(st *store) bool { return !st.lost() })",
+		Package: "./placement",
+	},
+	{
+		Promise: "nothing is given up beyond F without the operator's word", File: "placement/merge.go",
+		Old: "return len(lost) < s.in.Copies || s.allAbandoned(lost)", New: "return len(lost) >= 0",
+		Package: "./placement",
+	},
+	{
+		Promise: "a partition begins anew only where all of its disks are given up", File: "placement/merge.go",
+		Old: "case len(survivors) == 0 && s.allAbandoned(s.listed(p)):", New: "case len(survivors) == 0:",
+		Package: "./placement",
+	},
+	{
+		Promise: "a partition that waits for the operator's word holds up no other", File: "placement/balance.go",
+		Old: "== 0 || s.awaitsSource(p)", New: "== 0",
+		Package: "./placement",
+	},
+	{
+		Promise: "a store that is there is not given up", File: "internal/roles/control/abandon.go",
+		Old: "if _, live := p.sessionOf(s.Member); !live {", New: "if _, live := p.sessionOf(s.Member); !live || live {",
+		Package: "./internal/roles/control",
+	},
+}
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -1,10 +1,15 @@
 package mutants
 
+import "slices"
+
 // SystemPackage is the package whose tests are to catch the mutants of System.
 const SystemPackage = "./sim/system"
 
 // System are the promises of the ingest and dispatch service.
-var System = []Mutant{
+var System = slices.Concat(messagePromises, recoveryPromises)
+
+// messagePromises are those of messages, views and tables.
+var messagePromises = []Mutant{
 	{
 		Promise: "a write is on disk before it is done", File: "internal/recordlog/writer.go",
 		Old: "if err := w.journal.Sync(); err != nil {\n\t\treturn err\n\t}\n\tif len(w.grown) == 0 {", New: "if len(w.grown) == 0 {",
--- /dev/null
+++ b/sim/system/foundanew_test.go
@@ -0,0 +1,122 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/operator"
+	"liftgauge/internal/protocol"
+	"liftgauge/internal/recovery"
+)
+
+// foundAnew carries out liftgauge recover --found, and starts the founder again when it has ended.
+func (w *World) foundAnew(o recovery.Options, file []byte) (*recovery.Plan, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+	defer cancel()
+	var addresses []string
+	for _, p := range w.Of(protocol.RoleControl) {
+		addresses = append(addresses, at(p.IP, controlPort))
+	}
+	client := operator.New(addresses, &http.Transport{DialContext: w.Net.Host(operatorIP).DialContext, DisableKeepAlives: true})
+	accounts, err := client.Accounts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := recovery.Make(accounts, o)
+	if err != nil {
+		return nil, err
+	}
+	if err := client.Found(ctx, plan, file); err != nil {
+		return plan, err
+	}
+	controls := w.Of(protocol.RoleControl)
+	founder := controls[slices.IndexFunc(controls, func(p *Process) bool { return p.Name == plan.Founder.Name })]
+	w.Judge.trouble("founder " + founder.Name + " ends")
+	<-founder.done
+	if err := founder.stop(false); err != nil {
+		return plan, err
+	}
+	if err := founder.Start(); err != nil {
+		return plan, err
+	}
+	_, err = client.AwaitFounded(ctx, plan)
+	return plan, err
+}
+
+// TestControlIsFoundedAnewUnderTraffic takes the disks of a majority of control, or of all of it, while messages come. Control is founded anew
+// by the operator's command: nothing that has a copy is lost, nothing runs twice in calm, orders of keys are kept, configurations that were taken are
+// in force, and all of that outlives a loss of all power.
+func TestControlIsFoundedAnewUnderTraffic(t *testing.T) {
+	survivors := map[string]func(w *World) []*Process{
+		"the primary":   func(w *World) []*Process { return []*Process{w.controlPrimary()} },
+		"another":       func(w *World) []*Process { return w.others(w.controlPrimary())[:1] },
+		"none of three": func(*World) []*Process { return nil },
+	}
+	for name, survive := range survivors {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, Options{Seed: 31, Stores: 4}, func(t *testing.T, w *World) { playFoundAnew(t, w, survive(w)) })
+		})
+	}
+}
+
+func playFoundAnew(t *testing.T, w *World, survivors []*Process) {
+	is := is.NewRelaxed(t)
+	var lost []*Process
+	for _, p := range w.Of(protocol.RoleControl) {
+		if !slices.Contains(survivors, p) {
+			lost = append(lost, p)
+		}
+	}
+	revision := w.Operator.Newest().Revision
+	during(w, 24*time.Second, func() {
+		is.NoErr(loseDisks(lost))
+		time.Sleep(time.Second)
+		is.NoErr(startEach(lost))
+		time.Sleep(2 * time.Second) // they hear of the newest state
+		plan, err := w.foundAnew(recovery.Options{}, nil)
+		is.NoErr(err)
+		if err != nil {
+			return
+		}
+		is.Equal(len(plan.Join), 2)
+		status, err := w.Operator.Replace(revision, w.Operator.Document(revision+1, fifoRoute, plainRoute, pacedRoute), orderWithin)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		time.Sleep(seconds(bounds.CatchUpS))
+		is.True(w.controlIsWhole())
+		// A store is lost as before: partitions get other primaries by the new control.
+		is.NoErr(w.emptyDisk(w.Of(protocol.RoleStore)[0]))
+		time.Sleep(seconds(bounds.CatchUpS))
+		is.True(w.whole(w.Net.Host(operatorIP)))
+	})
+	is.NoErr(w.losePowerEverywhere())
+	time.Sleep(bounds.Contact())
+	is.Equal(w.Operator.Newest().Revision, revision+1)
+	is.Equal(w.Judge.Figures().Open, 0)
+}
+
+// TestNothingIsFoundedWhileControlWorks has the command refused at each moment of a store's and a control process's loss within F.
+func TestNothingIsFoundedWhileControlWorks(t *testing.T) {
+	play(t, Options{Seed: 32}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		during(w, 12*time.Second, func() {
+			is.NoErr(w.controlPrimary().Kill())
+			for range 10 {
+				_, err := w.foundAnew(recovery.Options{}, nil)
+				is.True(err != nil)
+				time.Sleep(200 * time.Millisecond)
+			}
+			is.NoErr(startEach(w.Of(protocol.RoleControl)))
+			time.Sleep(bounds.Contact())
+		})
+		is.Equal(w.Judge.Figures().Open, 0)
+		is.Equal(fmt.Sprint(w.Judge.Breaches()), "[]")
+	})
+}
