Refuse epochs beyond 28 bits instead of wrapping them

Cause: the epoch's part of a record's version wrapped at 2^28 without a word, and a garbled frame with a huge epoch could have driven a group there. A message that names an epoch beyond the limit is malformed, nobody campaigns for one, no partition takes one, and control warns from 7/8 of it on, with the remedy.

--- /dev/null
+++ b/internal/roles/control/epochs_test.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"liftgauge/placement"
+	"liftgauge/replication"
+)
+
+// Epochs that run out are told of long before, once, and no partition takes a view beyond the last.
+func TestEpochsThatRunOutAreTold(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.WarnLevel)
+	p := &primary{daemon: &daemon{logger: zap.New(core)}}
+	mayChange := func(epoch uint64) bool {
+		return p.mayChange(&placement.Change{Partition: 3, View: placement.View{Epoch: epoch}})
+	}
+	is.True(mayChange(replication.EpochWarning - 1))
+	is.Equal(logs.Len(), 0)
+	is.True(mayChange(replication.EpochWarning))
+	is.True(mayChange(replication.EpochLimit - 1))
+	is.Equal(logs.Len(), 1)
+	is.True(!mayChange(replication.EpochLimit))
+	is.True(!mayChange(replication.EpochLimit + 7))
+	is.Equal(logs.Len(), 2)
+}
--- a/internal/roles/control/placement.go
+++ b/internal/roles/control/placement.go
@@ -168,6 +168,7 @@
 	input := p.placementInput(now)
 	input.NoBalance = !p.placement.balance
 	changes := placement.Plan(input)
+	changes = slices.DeleteFunc(changes, func(change placement.Change) bool { return !p.mayChange(&change) })
 	for _, change := range changes {
 		if len(change.View.Sources) > 0 && len(input.Partitions[change.Partition].Sources) == 0 {
 			p.daemon.logger.Warn("control: the disks of all members of a partition are lost; it is put together from what others hold",
--- a/internal/roles/control/primary.go
+++ b/internal/roles/control/primary.go
@@ -30,6 +30,7 @@
 	placement placementState
 	duty      dutyState
 	tolerance toleranceWatch
+	epochs    epochWatch
 }
 
 func newPrimary(d *daemon, epoch, activation uint64, m *model) (*primary, error) {
--- a/replication/candidacy.go
+++ b/replication/candidacy.go
@@ -69,7 +69,11 @@
 
 func (e *Elector) startCandidacy(forced bool) {
 	installed := e.witness.Register.Installed.Clone()
-	e.seen = max(e.seen, e.witness.Register.Promised) + 1
+	e.seen = max(e.seen, e.witness.Register.Promised)
+	if e.seen+1 >= EpochLimit {
+		return
+	}
+	e.seen++
 	e.candidacy = &candidacy{
 		ballot: newBallot(e.seen, installed, len(e.witness.Register.Seeds)),
 		forced: forced, phaseAt: e.now, known: installed,
--- a/replication/codec.go
+++ b/replication/codec.go
@@ -64,6 +64,16 @@
 	return v
 }
 
+// epoch reads an epoch; one that no group ever has does not fit.
+func (r *reader) epoch() uint64 {
+	epoch := r.uint()
+	if epoch >= EpochLimit {
+		r.fail()
+		return 0
+	}
+	return epoch
+}
+
 func (r *reader) bool() bool { return r.uint() != 0 }
 
 func (r *reader) bytes() []byte {
@@ -119,7 +129,7 @@
 }
 
 func (v *View) read(r *reader) {
-	v.Epoch = r.uint()
+	v.Epoch = r.epoch()
 	v.Primary = r.string()
 	v.Members = r.strings()
 	v.Learners = r.strings()
--- a/replication/electionmessage.go
+++ b/replication/electionmessage.go
@@ -151,7 +151,7 @@
 	return appendBool(appendBool(b, m.Forced), m.Founding)
 }
 
-func (m *PrepareEpoch) read(r *reader) { m.Epoch, m.Forced, m.Founding = r.uint(), r.bool(), r.bool() }
+func (m *PrepareEpoch) read(r *reader) { m.Epoch, m.Forced, m.Founding = r.epoch(), r.bool(), r.bool() }
 
 func (m *PrepareAnswer) append(b []byte) []byte {
 	b = binary.AppendUvarint(b, m.Epoch)
@@ -161,7 +161,7 @@
 }
 
 func (m *PrepareAnswer) read(r *reader) {
-	m.Epoch, m.Granted, m.Busy, m.Promised = r.uint(), r.bool(), r.bool(), r.uint()
+	m.Epoch, m.Granted, m.Busy, m.Promised = r.epoch(), r.bool(), r.bool(), r.epoch()
 	r.nested(m.Installed.read)
 	m.Leaving = r.bool()
 }
@@ -175,7 +175,7 @@
 }
 
 func (m *InstallAnswer) read(r *reader) {
-	m.Epoch, m.Accepted, m.Promised = r.uint(), r.bool(), r.uint()
+	m.Epoch, m.Accepted, m.Promised = r.epoch(), r.bool(), r.epoch()
 }
 
 func (m *Alive) append(b []byte) []byte {
@@ -184,7 +184,7 @@
 }
 
 func (m *Alive) read(r *reader) {
-	m.Epoch, m.Round = r.uint(), r.uint()
+	m.Epoch, m.Round = r.epoch(), r.uint()
 	r.nested(m.View.read)
 }
 
@@ -196,8 +196,8 @@
 }
 
 func (m *AliveAnswer) read(r *reader) {
-	m.Epoch, m.Round, m.Stands, m.Promised = r.uint(), r.uint(), r.bool(), r.uint()
-	m.Foreign, m.Installed, m.Leaving = r.bool(), r.uint(), r.bool()
+	m.Epoch, m.Round, m.Stands, m.Promised = r.epoch(), r.uint(), r.bool(), r.epoch()
+	m.Foreign, m.Installed, m.Leaving = r.bool(), r.epoch(), r.bool()
 }
 
 func (m *Introduce) append(b []byte) []byte { return appendBool(b, m.Founder) }
@@ -213,4 +213,4 @@
 }
 
 func (m *Campaign) append(b []byte) []byte { return binary.AppendUvarint(b, m.Epoch) }
-func (m *Campaign) read(r *reader)         { m.Epoch = r.uint() }
+func (m *Campaign) read(r *reader)         { m.Epoch = r.epoch() }
--- a/replication/joined.go
+++ b/replication/joined.go
@@ -41,10 +41,16 @@
 	versionNumberBits  = 36
 	versionBlockBits   = 24
 	versionBlock       = uint64(1) << versionBlockBits
-	versionEpochLimit  = uint64(1) << (64 - versionNumberBits)
 	streamsPerBlockLog = 32
 )
 
+// EpochLimit is above every epoch: so many fit into a version. A view change a second reaches it in eight and a half years. No view of it or
+// beyond is made, and a message that names one is malformed, so that a garbled one cannot use up the epochs.
+const EpochLimit = uint64(1) << (64 - versionNumberBits)
+
+// EpochWarning is the epoch from which on the owner of a group should tell that its epochs are being used up.
+const EpochWarning = EpochLimit / 8 * 7
+
 // versions draws versions for the writes of one primary.
 type versions struct {
 	epoch    uint64 // zero: none can be drawn
@@ -60,5 +66,5 @@
 
 func (v *versions) draw() uint64 {
 	v.last++
-	return v.epoch%versionEpochLimit<<versionNumberBits | v.last
+	return v.epoch<<versionNumberBits | v.last
 }
--- a/replication/messagecodec.go
+++ b/replication/messagecodec.go
@@ -65,7 +65,7 @@
 }
 
 func (m *Join) read(r *reader) {
-	m.Epoch, m.Stream = r.uint(), r.uint()
+	m.Epoch, m.Stream = r.epoch(), r.uint()
 	r.nested(m.View.read)
 }
 
@@ -78,7 +78,7 @@
 }
 
 func (m *JoinReply) read(r *reader) {
-	m.Epoch, m.Stream, m.OK, m.Joined = r.uint(), r.uint(), r.bool(), r.uint()
+	m.Epoch, m.Stream, m.OK, m.Joined = r.epoch(), r.uint(), r.bool(), r.epoch()
 	m.Digest = readDigest(r)
 }
 
@@ -90,7 +90,7 @@
 }
 
 func (m *RangeQuery) read(r *reader) {
-	m.Epoch, m.Stream, m.Digests, m.Items = r.uint(), r.uint(), readRanges(r), readRanges(r)
+	m.Epoch, m.Stream, m.Digests, m.Items = r.epoch(), r.uint(), readRanges(r), readRanges(r)
 }
 
 // Append implements Message.
@@ -112,7 +112,7 @@
 }
 
 func (m *RangeReply) read(r *reader) {
-	m.Epoch, m.Stream = r.uint(), r.uint()
+	m.Epoch, m.Stream = r.epoch(), r.uint()
 	for range r.count() {
 		m.Digests = append(m.Digests, RangeDigest{Range: readRange(r), Digest: readDigest(r)})
 	}
@@ -133,7 +133,7 @@
 }
 
 func (m *Append) read(r *reader) {
-	m.Epoch, m.Stream, m.Seq, m.Records = r.uint(), r.uint(), r.uint(), readRecords(r)
+	m.Epoch, m.Stream, m.Seq, m.Records = r.epoch(), r.uint(), r.uint(), readRecords(r)
 }
 
 // Append implements Message.
@@ -141,7 +141,7 @@
 	return appendStrings(appendHead(b, codeRecordQuery, m.Epoch, m.Stream), m.Keys)
 }
 
-func (m *RecordQuery) read(r *reader) { m.Epoch, m.Stream, m.Keys = r.uint(), r.uint(), r.strings() }
+func (m *RecordQuery) read(r *reader) { m.Epoch, m.Stream, m.Keys = r.epoch(), r.uint(), r.strings() }
 
 // Append implements Message.
 func (m *RecordReply) Append(b []byte) []byte {
@@ -151,7 +151,7 @@
 }
 
 func (m *RecordReply) read(r *reader) {
-	m.Epoch, m.Stream, m.Covered, m.Records = r.uint(), r.uint(), r.uint(), readRecords(r)
+	m.Epoch, m.Stream, m.Covered, m.Records = r.epoch(), r.uint(), r.uint(), readRecords(r)
 }
 
 // Append implements Message.
@@ -163,7 +163,7 @@
 }
 
 func (m *AppendAck) read(r *reader) {
-	m.Epoch, m.Stream, m.Seq, m.Joined, m.Failed = r.uint(), r.uint(), r.uint(), r.uint(), r.bool()
+	m.Epoch, m.Stream, m.Seq, m.Joined, m.Failed = r.epoch(), r.uint(), r.uint(), r.epoch(), r.bool()
 }
 
 func appendRecords(b []byte, records []Record) []byte {
--- a/replication/witness.go
+++ b/replication/witness.go
@@ -27,7 +27,7 @@
 // Decode decodes a register.
 func (g *Register) Decode(b []byte) error {
 	r := reader{b: b}
-	*g = Register{Promised: r.uint(), Candidate: r.string()}
+	*g = Register{Promised: r.epoch(), Candidate: r.string()}
 	r.nested(g.Installed.read)
 	g.Founder, g.Seeds = r.bool(), r.strings()
 	return r.err()
