Have the model judge versions that go back, and requests cut around planned work

Each version of a new test adds a route; a dispatcher that took a message for it must not answer 404 later. A request that was sent whole and is cut later than LossSlackMs after that, in calm, counts around a SIGTERM of its dispatcher, and beside a configuration where the dispatcher cuts over three times as often as otherwise and seven tenths of the time are not over. SIGHUP is not played in the model. Clients and probes hand messages in by one function now.

--- a/sim/system/clients.go
+++ b/sim/system/clients.go
@@ -87,29 +87,38 @@
 	setDefault(&m.timeout, time.Second)
 	m.body = m.id + strings.Repeat("x", max(t.Bytes, 200))
 	dispatchers := c.world.Of(protocol.RoleDispatcher)
-	address := at(dispatchers[(c.pick+n)%len(dispatchers)].IP, frontendPort)
-	request, err := http.NewRequestWithContext(c.world.ctx, http.MethodPost, "http://"+address+m.prefix+"m", strings.NewReader(m.body))
-	if err != nil {
-		return 0, 0
-	}
-	request.Host = hostname
-	request.Header.Set("X-Request-Id", m.id)
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(clientPatience.Milliseconds()))
+	header := http.Header{}
 	if m.key != "" {
-		request.Header.Set("X-Ordering-Key", m.key)
+		header.Set("X-Ordering-Key", m.key)
 	}
 	if c.delay > 0 {
-		request.Header.Set("X-Delay-Ms", fmt.Sprint(c.delay.Milliseconds()))
+		header.Set("X-Delay-Ms", fmt.Sprint(c.delay.Milliseconds()))
 	}
-	c.world.Judge.send(m)
-	response, err := newClient(c.host, clientPatience).Do(request)
-	if err != nil {
+	response := c.world.hand(c.host, dispatchers[(c.pick+n)%len(dispatchers)], m, header)
+	if response == nil {
 		return 0, 0
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, retryAfter(response)
+}
+
+// hand hands a message to a dispatcher and has what comes of it judged. It returns nil without a complete answer.
+func (w *World) hand(host *virtualnet.Host, to *Process, m *message, header http.Header) *http.Response {
+	request, err := http.NewRequestWithContext(w.ctx, http.MethodPost, "http://"+at(to.IP, frontendPort)+m.prefix+"m", strings.NewReader(m.body))
 	if err != nil {
-		return 0, 0
+		return nil
+	}
+	request.Host = hostname
+	request.Header = header
+	request.Header.Set("X-Request-Id", m.id)
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(clientPatience.Milliseconds()))
+	watch := &requestWatch{}
+	w.Judge.send(m)
+	response, body, err := exchange(newClient(host, clientPatience), watch.watch(request))
+	if wrote, whole := watch.written(); whole && w.ctx.Err() == nil {
+		w.Judge.tried(cut{id: m.id, dispatcher: to.Name, sent: m.sent, wrote: wrote, at: time.Now()}, err != nil && !isTimeout(err))
+	}
+	if err != nil {
+		return nil
 	}
 	if response.StatusCode == http.StatusAccepted {
 		if named := response.Header.Get("X-Message-Id"); named != "" {
@@ -119,10 +128,21 @@
 		}
 	}
 	if echoed := response.Header.Get("X-Request-Id"); echoed != "" && echoed != m.id {
-		c.world.Judge.broken("MIXED", "%s got the answer of %s: %s", m.id, echoed, body)
+		w.Judge.broken("MIXED", "%s got the answer of %s: %s", m.id, echoed, body)
 	}
-	c.world.Judge.answered(m, response.StatusCode, string(body))
-	return response.StatusCode, retryAfter(response)
+	w.Judge.answered(m, response.StatusCode, string(body))
+	return response
+}
+
+// exchange sends a request and reads the whole answer.
+func exchange(client *http.Client, request *http.Request) (*http.Response, []byte, error) {
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
 }
 
 func retryAfter(r *http.Response) time.Duration {
@@ -133,6 +153,7 @@
 // Check asks for the state of accepted messages and for the bytes of those that have not ended, up to a number of each, again and again
 // after failures.
 func (w *World) Check(most int) {
+	w.Judge.judgeCuts()
 	open, ended := w.Judge.split()
 	for _, m := range open[:min(most, len(open))] {
 		if !w.ended(m) {
--- a/sim/system/controlfaults_test.go
+++ b/sim/system/controlfaults_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -171,21 +172,32 @@
 // TestOrdersGoOnWhileADiskOfControlStalls stalls the disk of one process of control for longer than an operator waits. The process still votes and
 // answers, so nobody else would leave it out.
 func TestOrdersGoOnWhileADiskOfControlStalls(t *testing.T) {
-	const stall, within = 9 * time.Second, 4 * time.Second
+	playDiskTrouble(t, 17, virtualdisk.Trouble{Stalled: true})
+}
+
+// TestOrdersGoOnWhileADiskOfControlRefuses is the same with a disk that refuses all writes.
+func TestOrdersGoOnWhileADiskOfControlRefuses(t *testing.T) {
+	playDiskTrouble(t, 18, virtualdisk.Trouble{Refusal: errors.New("the disk is full")})
+}
+
+// playDiskTrouble has the disk of control's primary, and of another process, in trouble for longer than an operator waits: every order is taken in time, and
+// control is whole again afterwards.
+func playDiskTrouble(t *testing.T, seed uint64, trouble virtualdisk.Trouble) {
+	const span, within = 9 * time.Second, 4 * time.Second
 	for _, processes := range []int{3, 4} {
 		for _, which := range []string{"the primary", "another"} {
 			t.Run(fmt.Sprintf("%s of %d", which, processes), func(t *testing.T) {
 				t.Parallel()
-				play(t, Options{Seed: 17, Control: processes, Edges: 4}, func(t *testing.T, w *World) {
+				play(t, Options{Seed: seed, Control: processes, Edges: 4}, func(t *testing.T, w *World) {
 					is := is.NewRelaxed(t)
 					p := w.controlPrimary()
 					if which == "another" {
 						p = w.others(p)[0]
 					}
-					w.Judge.trouble("disk stalls of " + p.Name)
-					p.disk.SetTrouble(virtualdisk.Trouble{Stalled: true})
+					w.Judge.trouble("disk trouble of " + p.Name)
+					p.disk.SetTrouble(trouble)
 					begun := time.Now()
-					for revision := 5; time.Since(begun) < stall; revision++ {
+					for revision := 5; time.Since(begun) < span; revision++ {
 						status, err := w.Operator.Replace(revision, w.Operator.Document(revision+1, fifoRoute, plainRoute, pacedRoute), within)
 						is.NoErr(err)
 						is.Equal(status, http.StatusOK)
--- a/sim/system/judge.go
+++ b/sim/system/judge.go
@@ -24,6 +24,12 @@
 	ackedAt       []time.Time
 	sent          map[string]bool
 	dropped       map[string]time.Time // routes by prefix: when the drop was acknowledged
+	versions      map[versionSeen]time.Time
+
+	ends              []plannedEnd
+	sentAt            []time.Time         // configurations
+	beside, otherwise map[string]cutCount // by dispatcher: beside a configuration, and all others
+	cuts              []cut
 }
 
 // Breach is one broken rule.
@@ -57,7 +63,8 @@
 
 func newJudge() *Judge {
 	return &Judge{start: time.Now(), messages: map[string]*message{}, keys: map[string][]*message{}, arrivals: map[string][]time.Time{},
-		sent: map[string]bool{}, dropped: map[string]time.Time{}}
+		sent: map[string]bool{}, dropped: map[string]time.Time{},
+		beside: map[string]cutCount{}, otherwise: map[string]cutCount{}}
 }
 
 // broken notes a breach.
--- a/sim/system/operator.go
+++ b/sim/system/operator.go
@@ -117,6 +117,7 @@
 	defer func() {
 		o.History.order(began, orderCall{base: base, revision: d.Revision, body: string(body)}, orderAnswer{status: status})
 	}()
+	o.world.Judge.orderSent()
 	limit := began.Add(within)
 	pause := 50 * time.Millisecond
 	for i := 0; time.Now().Before(limit); i++ {
--- /dev/null
+++ b/sim/system/regress_test.go
@@ -0,0 +1,136 @@
+package system
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/protocol"
+)
+
+// TestConfigurationNeverGoesBack gives a version every 0.4 s, each with a route of its own, and asks all dispatchers for the newest again and again while
+// control's primary is cut off, killed and loses its disk, and a dispatcher starts anew: no incarnation goes back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	play(t, Options{Seed: 34}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		var newest atomic.Int64
+		revision, routes := w.Operator.Newest().Revision, []Route{fifoRoute, plainRoute, pacedRoute}
+		end := make(chan struct{})
+		base := revision
+		w.running.Go(func() { w.probeVersions(base, func() int { return int(newest.Load()) }, 100*time.Millisecond, end) })
+		faults := make(chan struct{})
+		w.running.Go(func() {
+			defer close(faults)
+			first := w.controlPrimary()
+			w.CutOff(first.IP, true)
+			time.Sleep(2 * time.Second)
+			w.CutOff(first.IP, false)
+			time.Sleep(2 * time.Second)
+			is.NoErr(w.controlPrimary().Kill())
+			is.NoErr(startEach(w.Of(protocol.RoleControl)))
+			time.Sleep(2 * time.Second)
+			is.NoErr(w.emptyDisk(w.controlPrimary()))
+			is.NoErr(w.Of(protocol.RoleDispatcher)[0].Restart(200 * time.Millisecond))
+		})
+		for range 25 {
+			routes = append(routes, versionRoute(revision+1))
+			newest.Store(int64(revision + 1))
+			status, err := w.Operator.Replace(revision, w.Operator.Document(revision+1, routes...), orderWithin)
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			revision++
+			time.Sleep(400 * time.Millisecond)
+		}
+		<-faults
+		close(end)
+		time.Sleep(bounds.Contact())
+		is.True(len(w.Judge.versions) > 60) // three dispatchers, 25 versions: most were seen
+	})
+}
+
+// TestJudgeSeesAVersionGoBack: an incarnation that had a version and has no route of it later breaks CONFIG; another incarnation, or one that answers
+// what it was asked before, does not.
+func TestJudgeSeesAVersionGoBack(t *testing.T) {
+	is := is.New(t)
+	j := newJudge()
+	now := time.Now()
+	seen := versionSeen{dispatcher: "edge-1", incarnation: 1, revision: 7}
+	j.probed(seen, now, http.StatusNotFound) // not yet
+	j.probed(seen, now, http.StatusAccepted)
+	later := now.Add(time.Second)
+	j.probed(versionSeen{"edge-1", 2, 7}, later, http.StatusNotFound)
+	j.probed(versionSeen{"edge-2", 1, 7}, later, http.StatusNotFound)
+	j.probed(versionSeen{"edge-1", 1, 8}, later, http.StatusNotFound)
+	j.probed(seen, now, http.StatusNotFound) // sent before
+	is.Equal(len(j.Breaches()), 0)
+	j.probed(versionSeen{"edge-1", 1, 6}, later, http.StatusNotFound) // the routes of earlier versions stay
+	is.Equal(len(j.Breaches()), 1)
+	is.Equal(j.Breaches()[0].Rule, "CONFIG")
+}
+
+// TestJudgeSeesARequestCutByAPlannedEnd plays the cases of LOST around planned work.
+func TestJudgeSeesARequestCutByAPlannedEnd(t *testing.T) {
+	slack := time.Duration(bounds.LossSlackMs * float64(time.Millisecond))
+	start := time.Now()
+	for name, c := range map[string]struct {
+		dispatcher string
+		held       time.Duration // from the last byte to the cut
+		after      time.Duration // from SIGTERM to the cut
+		trouble    bool
+		lost       bool
+	}{
+		"held and cut":                {"edge-1", slack + time.Millisecond, time.Second, false, true},
+		"cut at once":                 {"edge-1", slack, time.Second, false, false},
+		"by another dispatcher":       {"edge-2", time.Second, time.Second, false, false},
+		"long after the end":          {"edge-1", time.Second, bounds.Grace() + plannedAfter, false, false},
+		"before the SIGTERM":          {"edge-1", time.Second, -time.Millisecond, false, false},
+		"beside an unplanned trouble": {"edge-1", time.Second, time.Second, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := newJudge()
+			j.ends = []plannedEnd{{"edge-1", start}}
+			if c.trouble {
+				j.troubles = []time.Time{start}
+			}
+			at := start.Add(c.after)
+			j.tried(cut{id: "m", dispatcher: c.dispatcher, sent: at.Add(-c.held - time.Millisecond), wrote: at.Add(-c.held), at: at}, true)
+			j.judgeCuts()
+			is.Equal(len(j.Breaches()) == 1, c.lost)
+		})
+	}
+}
+
+// TestJudgeComparesCutsBesideAConfiguration: what is cut beside a configuration counts where the dispatcher cuts over three times as often as otherwise, and
+// not after seven tenths of a request's time.
+func TestJudgeComparesCutsBesideAConfiguration(t *testing.T) {
+	start := time.Now()
+	for name, c := range map[string]struct {
+		otherCuts int
+		held      time.Duration
+		lost      int
+	}{
+		"none otherwise":     {0, time.Second, 2},
+		"as often otherwise": {2, time.Second, 0},
+		"late":               {0, clientPatience * spentShare / 10, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := newJudge()
+			j.sentAt, j.ackedAt = []time.Time{start}, []time.Time{start}
+			one := func(at time.Time, cutOff bool) {
+				j.tried(cut{id: "m", dispatcher: "edge-1", sent: at.Add(-c.held), wrote: at.Add(-c.held), at: at}, cutOff)
+			}
+			far := start.Add(time.Hour)
+			for n := range 10 {
+				one(start.Add(2*time.Second), n < 2)
+				one(far, n < c.otherCuts)
+			}
+			j.judgeCuts()
+			is.Equal(len(j.Breaches()), c.lost)
+		})
+	}
+}
--- a/sim/system/world.go
+++ b/sim/system/world.go
@@ -85,7 +85,7 @@
 	crash       *virtualdisk.Crash // of the next incarnation's disk
 	cancel      context.CancelFunc
 	done        chan struct{}
-	incarnation int
+	incarnation atomic.Int32
 	random      *rand.Rand // what a loss of power leaves of the disk
 }
 
@@ -234,7 +234,7 @@
 		}
 		p.disk, environment.Disk = disk, disk
 	}
-	p.incarnation++
+	p.incarnation.Add(1)
 	p.host = p.world.Net.Host(p.IP)
 	p.up.Store(true)
 	environment.Network = p.host
@@ -244,7 +244,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel, p.done = cancel, make(chan struct{})
 	done, settings := p.done, p.settings()
-	logger := p.world.options.Logger.Named(fmt.Sprintf("%s/%s#%d", p.Name, p.Role, p.incarnation))
+	logger := p.world.options.Logger.Named(fmt.Sprintf("%s/%s#%d", p.Name, p.Role, p.incarnation.Load()))
 	p.world.running.Go(func() {
 		defer close(done)
 		if err := run(ctx, environment, settings, logger); err != nil {
@@ -299,6 +299,9 @@
 		return 0, false, nil
 	}
 	begin := time.Now()
+	if p.Role == protocol.RoleDispatcher {
+		p.world.Judge.plannedEnd(p.Name)
+	}
 	p.cancel()
 	grace := time.NewTimer(bounds.Grace())
 	defer grace.Stop()
