Drop silent connections to processes that have started anew

When the node table shows another incarnation of a process, the connection to its address is dropped if nothing came over it for two ticks of the monitor, half a second; one to the new process is not silent, or nobody waits on it.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -515,3 +515,30 @@
 	a.Reload(settingsOf(t, "n", control.server.Addr()))
 	accepted(a, control)
 }
+
+// A machine that lost power leaves its connections hanging. Once the nodes show another incarnation there, calls on them end.
+func TestConnectionToAReplacedProcessIsDropped(t *testing.T) {
+	is := is.New(t)
+	ip := ownAddress()
+	server, err := rpc.Listen(net.JoinHostPort(ip, "0"), rpc.HandlerFunc(func(*rpc.Conn, rpc.Kind, []byte, func([]byte, error)) {}), rpc.Options{}) // says nothing
+	is.NoErr(err)
+	t.Cleanup(func() { _ = server.Close() })
+	a := start(t, Options{
+		Settings: settingsOf(t, "edge-1", net.JoinHostPort(ip, "1")), RPC: rpc.Options{PingEvery: 4 * time.Millisecond, DeadAfter: time.Hour},
+	})
+	address := server.Addr()
+	store := protocol.Node{Key: "storage-1/store", Role: protocol.RoleStore, Incarnation: 1, Address: address}
+	a.Publish(nodesItem(version(1, 1), store))
+	conn, err := a.Pool().Get(t.Context(), address)
+	is.NoErr(err)
+	for number := uint64(2); ; number++ { // silence is counted in ticks
+		store.Incarnation = number
+		a.Publish(nodesItem(version(1, number), store))
+		select {
+		case <-conn.Done():
+			is.True(errors.Is(conn.Err(), rpc.ErrReplaced))
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/internal/agent/items.go
+++ b/internal/agent/items.go
@@ -86,6 +86,9 @@
 				zap.Uint8("item", uint8(item.Kind)), zap.Error(err))
 			continue
 		}
+		if item.Kind == protocol.ItemNodes {
+			a.dropReplaced(a.View(), view)
+		}
 		version := dissemination.Version(item.Version)
 		a.items.state.Offer(dissemination.Item[protocol.ItemKind]{Key: item.Kind, Version: version, Body: item.Body})
 		a.items.pulls.Got(dissemination.Entry[protocol.ItemKind]{Key: item.Kind, Version: version})
@@ -96,6 +99,17 @@
 	}
 }
 
+// dropReplaced drops the connections to processes that have started anew since the nodes before: where a machine had lost power, nothing else tells
+// those that called it.
+func (a *Agent) dropReplaced(before, after *View) {
+	for i := range after.Nodes {
+		node := &after.Nodes[i]
+		if known, ok := before.NodeByKey(node.Key); ok && known.Incarnation != node.Incarnation {
+			a.pool.DropReplaced(node.Address)
+		}
+	}
+}
+
 // withPacked returns the view with an item whose body is packed.
 func (a *Agent) withPacked(item protocol.Item) (*View, error) {
 	body, err := unpack(item.Body)
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -21,6 +21,7 @@
 	dialed  bool
 	monitor *monitor
 	silence silence
+	silent  atomic.Int32 // ticks of the monitor without a frame
 
 	received atomic.Uint32 // frames that arrived, wrapping
 	used     atomic.Uint32 // frames but pings and pongs in both directions, wrapping
--- a/internal/rpc/monitor.go
+++ b/internal/rpc/monitor.go
@@ -103,6 +103,7 @@
 	} else {
 		s.silent++
 	}
+	c.silent.Store(int32(s.silent))
 	pingAt := ticksPerPing
 	if !c.dialed {
 		pingAt += ticksPerPing / 2
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -152,6 +152,18 @@
 	}
 }
 
+// replacedAfter is how many ticks of the monitor a connection may have been silent, when its peer is known to have been replaced, before it is dropped:
+// half a second by default.
+const replacedAfter = 2
+
+// DropReplaced closes the connection to an address where another process is known to listen now, unless something came over it lately: it may
+// be one to the new process. Calls that wait on it end at once, and not when their deadline or DeadAfter is over.
+func (p *Pool) DropReplaced(address string) {
+	if c := p.Peek(address); c != nil && c.silent.Load() >= replacedAfter {
+		c.shut(ErrReplaced)
+	}
+}
+
 // Close closes all connections; later Gets fail. It does not wait for OnClose of the connections.
 func (p *Pool) Close() {
 	p.mutex.Lock()
--- a/internal/rpc/pool_test.go
+++ b/internal/rpc/pool_test.go
@@ -125,3 +125,23 @@
 	_, err = p.Get(context.Background(), server.Addr())
 	is.True(errors.Is(err, ErrNotSent) && errors.Is(err, ErrClosed))
 }
+
+// A connection over which something came lately may be one to the new process.
+func TestOnlySilentConnectionsToReplacedProcessesAreDropped(t *testing.T) {
+	is := is.New(t)
+	server, err := Listen("127.0.0.1:0", HandlerFunc(func(*Conn, Kind, []byte, func([]byte, error)) {}), Options{})
+	is.NoErr(err)
+	defer server.Close()
+	pool := NewPool(nil, Options{PingEvery: time.Hour, DeadAfter: 10 * time.Hour})
+	defer pool.Close()
+	conn, err := pool.Get(t.Context(), server.Addr())
+	is.NoErr(err)
+	conn.silent.Store(replacedAfter - 1)
+	pool.DropReplaced(server.Addr())
+	is.True(pool.Peek(server.Addr()) == conn)
+	conn.silent.Store(replacedAfter)
+	pool.DropReplaced(server.Addr())
+	<-conn.Done()
+	is.True(errors.Is(conn.Err(), ErrReplaced))
+	pool.DropReplaced("127.0.0.1:1") // there is none
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -97,6 +97,8 @@
 	ErrLost = errors.New("rpc: answer lost: the call may have been processed")
 	// ErrClosed is the cause of an end by Close, on this side.
 	ErrClosed = errors.New("rpc: closed on this side")
+	// ErrReplaced is the cause of an end because another process listens at the address now.
+	ErrReplaced = errors.New("rpc: another process listens at this address: connect again")
 	// ErrSilent is the cause of an end because the other side sent nothing for Options.DeadAfter.
 	ErrSilent = errors.New("rpc: the other side is silent: check that it runs and can be reached")
 	// ErrQueueFull is the cause of an end because the other side does not read.
