Go on where a disk of control refuses, and look for stores lost with the primary

Cause: a batch that the primary's own disk refused was tried for ever, with no word to the others; it asks another member to take over from the third refusal on. The test of that, in the model, found that the same disk at a backup held up every order for as long: a member that answers with a refusal each time is never silent, so nobody left it out. One whose disk has taken nothing for a second counts as stalled now.

A store that is killed together with control's primary breaks no connection to the next one, so its partitions waited for the session's end (0.7 s): a primary that takes over dials each store once. Not within a second of its own start, when stores may be starting too.

Forced: TestOrdersGoOnWhileADiskOfControlRefuses (red for a backup before), TestMemberWhoseDiskRefusesIsDoneWithout, TestWriterTellsOfADiskThatRefuses, TestStoreThatIsLostWithThePrimaryIsNoticed.

--- a/internal/roles/control/daemon.go
+++ b/internal/roles/control/daemon.go
@@ -39,6 +39,7 @@
 	reader       listReader
 	ending       bool          // a planned end has begun
 	witnessUntil time.Duration // a planned end waits no longer to be left out of the witnesses
+	began        time.Duration // when the process began
 	ended        chan struct{} // closed when the loop ends
 	founding     bool          // the state of a new generation is being written: this process takes no part in the present one any more
 	foundedAnew  chan struct{} // closed when that is on disk
--- a/internal/roles/control/refusal.go
+++ b/internal/roles/control/refusal.go
@@ -18,6 +18,8 @@
 	refusalDials       = 2
 	refusalPause       = 20 * time.Millisecond
 	refusalDialTimeout = 100 * time.Millisecond
+	// newcomerPeriod is how long a process may be a newcomer beside others that start at the same time.
+	newcomerPeriod = time.Second
 )
 
 // sender is who sent heartbeats over a connection; it is the connection's tag.
@@ -42,17 +44,32 @@
 		return
 	}
 	d.loop.post(func() {
-		if d.primary == nil || !d.primary.sessions.Lives(s.key, s.incarnation) {
-			return
+		if d.primary != nil && d.primary.sessions.Lives(s.key, s.incarnation) {
+			go d.endIfRefused(s)
 		}
-		go func() {
-			if d.refuses(s.address) {
-				d.loop.post(func() { d.refused(s) })
-			}
-		}()
 	})
 }
 
+// endIfRefused ends the session of a store if its address refuses connections.
+func (d *daemon) endIfRefused(s sender) {
+	if d.refuses(s.address) {
+		d.loop.post(func() { d.refused(s) })
+	}
+}
+
+// lookForLostStores dials every store that has a session once: one that was killed together with the primary before has broken no connection to this
+// process. After a start of this process nothing is done: all stores may be starting as well, and refuse until they listen.
+func (d *daemon) lookForLostStores(p *primary) {
+	if d.now()-d.began < newcomerPeriod {
+		return
+	}
+	for key, node := range p.model.nodes {
+		if node.Role == protocol.RoleStore {
+			go d.endIfRefused(sender{key: key, incarnation: node.Incarnation, address: node.Address})
+		}
+	}
+}
+
 // refuses tells whether an address refuses connections again and again. Silence is no refusal.
 func (d *daemon) refuses(address string) bool {
 	for i := range refusalDials {
--- a/internal/roles/control/refusal_test.go
+++ b/internal/roles/control/refusal_test.go
@@ -35,6 +35,30 @@
 	c.await(other.Agent, "the end of the session", func(v *agent.View) bool { return len(v.Live(protocol.RoleStore)) == 1 })
 }
 
+// TestStoreThatIsLostWithThePrimaryIsNoticed kills a store right after control's primary: no connection to the next one breaks. There its session would not
+// expire.
+func TestStoreThatIsLostWithThePrimaryIsNoticed(t *testing.T) {
+	c := newCluster(t, 4)
+	c.startAll()
+	one, other := c.startStore(30, "disk"), c.startStore(31, "disk")
+	c.await(other.Agent, "both stores", func(v *agent.View) bool { return len(v.Live(protocol.RoleStore)) == 2 })
+	c.eventually("all processes to be no newcomers", func() bool {
+		newcomers := false
+		for _, m := range c.machines {
+			m.onLoop(c, func(d *daemon) { newcomers = newcomers || d.now()-d.began < newcomerPeriod })
+		}
+		return !newcomers
+	})
+	c.kill(c.primary())
+	one.Close()
+	c.primary().onLoop(c, func(d *daemon) {
+		if node, ok := d.primary.sessions.Get("storage-30/store"); ok {
+			d.primary.sessions.Renew(d.now()+time.Hour, node)
+		}
+	})
+	c.await(other.Agent, "the end of the session", func(v *agent.View) bool { return len(v.Live(protocol.RoleStore)) == 1 })
+}
+
 // TestConnectionThatOnlyBreaksEndsNoSession breaks the connections of a store that goes on to listen.
 func TestConnectionThatOnlyBreaksEndsNoSession(t *testing.T) {
 	is := is.New(t)
--- a/internal/roles/control/run.go
+++ b/internal/roles/control/run.go
@@ -154,6 +154,7 @@
 		return errors.Wrap(err, "starting on the internal address")
 	}
 	d.agent = started
+	d.began = started.Steady()
 	d.links = newLinks(started.Pool(), d.loop, d.linkChanged)
 	d.reader = newListReader(d)
 	started.Subscribe(func(*agent.View, []protocol.ItemKind) { d.loop.post(d.reviewWaiting) })
--- a/internal/roles/control/writer.go
+++ b/internal/roles/control/writer.go
@@ -8,8 +8,12 @@
 	"liftgauge/replication"
 )
 
-// storageRetry is the time between attempts to write a batch that the own disk refused.
-const storageRetry = 200 * time.Millisecond
+const (
+	// storageRetry is the time between attempts to write a batch that the own disk refused.
+	storageRetry = 200 * time.Millisecond
+	// refusalsBorne is how often the own disk may refuse a batch before another member is asked to take over: a full disk may have space again by then.
+	refusalsBorne = 2
+)
 
 // writer replicates changes of the model in batches, one at a time: what is put while a batch is under way goes into the next one.
 type writer struct {
@@ -18,6 +22,8 @@
 	// began is called when a batch begins, with the model as it is after it; what it returns is called when the batch is durable.
 	began func() (durable func())
 	after func(time.Duration, func())
+	// refused is called each time that the own disk has refused a batch more often than is borne.
+	refused func()
 
 	records   []replication.Record
 	index     map[string]int // of records, by key
@@ -62,7 +68,7 @@
 		}
 		durable := w.began()
 		w.inFlight = true
-		w.attempt(records, func(err error) {
+		w.attempt(records, 0, func(err error) {
 			w.inFlight = false
 			if err == nil && !w.closed {
 				durable()
@@ -73,10 +79,14 @@
 }
 
 // attempt writes a batch until the own disk takes it or the process is deposed. Giving up earlier would leave its fate open.
-func (w *writer) attempt(records []replication.Record, done func(error)) {
+func (w *writer) attempt(records []replication.Record, refusals int, done func(error)) {
 	w.write(records, func(err error) {
 		if errors.Is(err, replication.ErrStorage) && !w.closed {
-			w.after(storageRetry, func() { w.attempt(records, done) })
+			refusals++
+			if refusals > refusalsBorne {
+				w.refused()
+			}
+			w.after(storageRetry, func() { w.attempt(records, refusals, done) })
 			return
 		}
 		done(err)
--- a/internal/roles/control/writer_test.go
+++ b/internal/roles/control/writer_test.go
@@ -65,6 +65,27 @@
 	is.Equal(h.durable, 2)
 }
 
+// A disk that refuses again and again has another member asked to take over, while the batch is tried on.
+func TestWriterTellsOfADiskThatRefuses(t *testing.T) {
+	is := is.New(t)
+	var h heldWrites
+	w, told := h.writer(), 0
+	w.refused = func() { told++ }
+	w.put(record("a", "1"))
+	w.flush()
+	for n := range refusalsBorne + 2 {
+		h.done[n](replication.ErrStorage)
+		is.Equal(told, max(0, n+1-refusalsBorne))
+		h.retries[n]()
+	}
+	h.done[refusalsBorne+2](nil)
+	is.Equal(h.durable, 1)
+	w.put(record("a", "2")) // the next batch begins anew
+	w.flush()
+	h.done[refusalsBorne+3](replication.ErrStorage)
+	is.Equal(told, 2)
+}
+
 func TestWriterAnswersAtOnceWithNothingToWrite(t *testing.T) {
 	is := is.New(t)
 	var h heldWrites
--- a/lab/mutants/recovery.go
+++ b/lab/mutants/recovery.go
@@ -93,4 +93,29 @@
 		Old: "if _, live := p.sessionOf(s.Member); !live {", New: "if _, live := p.sessionOf(s.Member); !live || live {",
 		Package: "./internal/roles/control",
 	},
+	{
+		Promise: "a store that is lost together with control's primary is noticed by the next", File: "internal/roles/control/primary.go",
+		Old: "\tp.daemon.lookForLostStores(p)\n", New: "",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a primary of control whose disk refuses has another take over", File: "internal/roles/control/writer.go",
+		Old: "if refusals > refusalsBorne {", New: "if refusals < 0 {",
+		Package: "./internal/roles/control",
+	},
+	{
+		Promise: "a connection to a process that was replaced is dropped", File: "internal/agent/items.go",
+		Old: "a.pool.DropReplaced(node.Address)", New: "_ = node.Address",
+		Package: "./internal/agent",
+	},
+	{
+		Promise: "a connection that may be one to the new process is kept", File: "internal/rpc/pool.go",
+		Old: "c != nil && c.silent.Load() >= replacedAfter {", New: "c != nil {",
+		Package: "./internal/rpc",
+	},
+	{
+		Promise: "a member whose disk refuses is left out", File: "replication/stall.go",
+		Old: "if p.refuses && now-p.refusesSince >= stallPatience {", New: "if false {",
+		Package: "./replication",
+	},
 }
--- a/replication/cluster_fault_test.go
+++ b/replication/cluster_fault_test.go
@@ -333,3 +333,24 @@
 		is.True(!c.primary().elector.View().IsMember(p.member())) // nobody waits for the one that ends
 	}
 }
+
+// TestMemberWhoseDiskRefusesIsDoneWithout has the disk of a backup refuse all writes: it answers each time, so it is never silent, and writes would wait for it
+// for good. It is left out until its disk takes writes again.
+func TestMemberWhoseDiskRefusesIsDoneWithout(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(10) {
+		c := newRunningCluster(t, seed, 3, 3)
+		backup := c.procs[seed%3]
+		if c.primary() == backup {
+			backup = c.procs[(seed+1)%3]
+		}
+		backup.storage.failing = 1 << 20
+		c.run(calm)
+		is.Equal(c.failure, "")
+		is.True(c.now-c.lastAck < 100*time.Millisecond)
+		is.True(c.longest < 2*stallPatience)
+		backup.storage.failing = 0
+		c.run(2 * calm)
+		is.Equal(c.checkCalm(), "")
+	}
+}
--- a/replication/outbound.go
+++ b/replication/outbound.go
@@ -63,6 +63,9 @@
 	idleSince time.Duration
 	excused   time.Duration // of the time since, this process stood still
 	timed     bool
+
+	refuses      bool // its disk has refused what was sent, and has taken nothing since; this outlives the stream
+	refusesSince time.Duration
 }
 
 // inFlight is a batch that was sent and is not acknowledged.
@@ -72,10 +75,23 @@
 	bytes int    // of a repair
 }
 
-func (p *outbound) reset() { *p = outbound{id: p.id} }
+func (p *outbound) reset() {
+	*p = outbound{id: p.id, refuses: p.refuses, refusesSince: p.refusesSince}
+}
 
 // fail ends the stream until Tick begins another.
-func (p *outbound) fail() { *p = outbound{id: p.id, state: peerFailed} }
+func (p *outbound) fail() {
+	p.reset()
+	p.state = peerFailed
+}
+
+// took notes whether the peer's disk has taken what was sent.
+func (p *outbound) took(ok bool, now time.Duration) {
+	if !ok && !p.refuses {
+		p.refusesSince = now
+	}
+	p.refuses = !ok
+}
 
 // streaming tells whether the peer has joined and takes writes.
 func (p *outbound) streaming() bool { return p.state >= peerComparing && p.state <= peerEqual }
@@ -271,6 +287,7 @@
 	if p == nil || !p.streaming() {
 		return
 	}
+	p.took(!m.Failed, r.stall.ticked)
 	if m.Failed || m.Joined > m.Epoch {
 		p.fail()
 		r.refused(m.Joined)
--- a/replication/replica.go
+++ b/replication/replica.go
@@ -167,6 +167,7 @@
 	}
 	for _, p := range r.lead.peers {
 		p.excused += pause
+		p.refusesSince += pause
 	}
 	if !r.lead.joined {
 		if r.lead.joinFailed {
--- a/replication/stall.go
+++ b/replication/stall.go
@@ -45,8 +45,11 @@
 	return stalled
 }
 
-// stalled tells whether a linked peer owes something and has not been heard of for a while.
+// stalled tells whether a linked peer owes something and has not been heard of for a while, or its disk has refused all of it for so long.
 func (p *outbound) stalled(now time.Duration) bool {
+	if p.refuses && now-p.refusesSince >= stallPatience {
+		return true
+	}
 	return p.timed && p.busy() && now-p.idleSince-p.excused >= stallPatience
 }
 
