Move the operators' address of serve under internal/serve

internal/control and internal/roles/control had one name for two things: a listener of the dispatcher in service, and a role of the system.

--- a/cmd/liftgauge/capture.go
+++ b/cmd/liftgauge/capture.go
@@ -11,8 +11,8 @@
 
 	"liftgauge/internal/capture"
 	"liftgauge/internal/config"
-	"liftgauge/internal/control"
 	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/control"
 )
 
 // records writes what was seen of messages. It is nil where settings leave it off.
--- a/cmd/liftgauge/members.go
+++ b/cmd/liftgauge/members.go
@@ -16,9 +16,9 @@
 	"github.com/spf13/cobra"
 
 	"liftgauge/internal/config"
-	"liftgauge/internal/control"
 	"liftgauge/internal/gossip"
 	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/control"
 	"liftgauge/member"
 )
 
--- a/cmd/liftgauge/pulls.go
+++ b/cmd/liftgauge/pulls.go
@@ -14,11 +14,11 @@
 
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
-	"liftgauge/internal/control"
 	"liftgauge/internal/gearman"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/north"
 	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/control"
 	"liftgauge/internal/work"
 )
 
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -15,7 +15,6 @@
 
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
-	"liftgauge/internal/control"
 	"liftgauge/internal/gearman"
 	"liftgauge/internal/handover"
 	"liftgauge/internal/http1"
@@ -24,6 +23,7 @@
 	"liftgauge/internal/load"
 	"liftgauge/internal/north"
 	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/control"
 	"liftgauge/internal/south"
 )
 
