--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -16,7 +16,6 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
 	"liftgauge/internal/gearman"
-	"liftgauge/internal/handover"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/inventory"
@@ -24,6 +23,7 @@
 	"liftgauge/internal/north"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/control"
+	"liftgauge/internal/serve/handover"
 	"liftgauge/internal/south"
 )
 
