--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -18,12 +18,12 @@
 	"liftgauge/internal/gearman"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
-	"liftgauge/internal/inventory"
 	"liftgauge/internal/load"
 	"liftgauge/internal/north"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/control"
 	"liftgauge/internal/serve/handover"
+	"liftgauge/internal/serve/inventory"
 	"liftgauge/internal/south"
 )
 
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -17,10 +17,10 @@
 	"liftgauge/balance"
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
-	"liftgauge/internal/inventory"
 	"liftgauge/internal/north"
 	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/handover"
+	"liftgauge/internal/serve/inventory"
 	"liftgauge/internal/south"
 )
 
