--- a/cmd/liftgauge/capture.go
+++ b/cmd/liftgauge/capture.go
@@ -11,8 +11,8 @@
 
 	"liftgauge/internal/capture"
 	"liftgauge/internal/config"
-	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/control"
+	"liftgauge/internal/serve/owner"
 )
 
 // records writes what was seen of messages. It is nil where settings leave it off.
--- a/cmd/liftgauge/members.go
+++ b/cmd/liftgauge/members.go
@@ -17,8 +17,8 @@
 
 	"liftgauge/internal/config"
 	"liftgauge/internal/gossip"
-	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/control"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/member"
 )
 
--- a/cmd/liftgauge/pulls.go
+++ b/cmd/liftgauge/pulls.go
@@ -17,8 +17,8 @@
 	"liftgauge/internal/gearman"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/north"
-	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/control"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/work"
 )
 
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -20,10 +20,10 @@
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/load"
 	"liftgauge/internal/north"
-	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/control"
 	"liftgauge/internal/serve/handover"
 	"liftgauge/internal/serve/inventory"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/south"
 )
 
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -18,9 +18,9 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
 	"liftgauge/internal/north"
-	"liftgauge/internal/owner"
 	"liftgauge/internal/serve/handover"
 	"liftgauge/internal/serve/inventory"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/south"
 )
 
--- a/internal/gearman/client.go
+++ b/internal/gearman/client.go
@@ -10,7 +10,7 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/gearman/packet"
 	"liftgauge/internal/gearman/state"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/work"
 	"liftgauge/route"
 
--- a/internal/gearman/gearman_test.go
+++ b/internal/gearman/gearman_test.go
@@ -18,7 +18,7 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/gearman/packet"
 	"liftgauge/internal/invariant"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/settings"
 	"liftgauge/internal/standin"
 	"liftgauge/internal/work"
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -24,7 +24,7 @@
 	"liftgauge/internal/gearman/packet"
 	"liftgauge/internal/gearman/state"
 	"liftgauge/internal/invariant"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/settings"
 	"liftgauge/internal/work"
 	"liftgauge/route"
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -12,7 +12,7 @@
 
 	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/sock"
 )
 
--- a/internal/north/crossings_test.go
+++ b/internal/north/crossings_test.go
@@ -12,7 +12,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/invariant"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/sock"
 )
 
--- a/internal/north/message.go
+++ b/internal/north/message.go
@@ -11,7 +11,7 @@
 	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/jsonval"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 const maxID = 128
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -18,7 +18,7 @@
 	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/load"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/sock"
 )
 
--- a/internal/north/north_test.go
+++ b/internal/north/north_test.go
@@ -19,7 +19,7 @@
 	"liftgauge/internal/http1"
 	"liftgauge/internal/jsonval"
 	"liftgauge/internal/load"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // desk says how the owner is to act, and holds what reached it.
--- a/internal/north/pass.go
+++ b/internal/north/pass.go
@@ -10,7 +10,7 @@
 
 	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // In an upgrade the messages that wait for their answers go over to the successor, each with its connection: a class may be far more
--- a/internal/north/pass_test.go
+++ b/internal/north/pass_test.go
@@ -11,7 +11,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // upgrade is a world whose process leaves, and the one of its successor.
--- a/internal/serve/handover/peer.go
+++ b/internal/serve/handover/peer.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"liftgauge/internal/jsonval"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 const (
--- a/internal/serve/handover/peer_test.go
+++ b/internal/serve/handover/peer_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // process is one process of a dispatcher, as far as the other meets it.
--- a/internal/serve/handover/rights_test.go
+++ b/internal/serve/handover/rights_test.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"testing"
 
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // pair is a client's connection as both ends have it.
--- a/internal/serve/inventory/inventory.go
+++ b/internal/serve/inventory/inventory.go
@@ -22,7 +22,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 const (
--- a/internal/serve/inventory/inventory_test.go
+++ b/internal/serve/inventory/inventory_test.go
@@ -16,7 +16,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 const entry = `{"id":"s-5be2a07c","host_port":"10.1.0.18:8443","locality":"b","flavor":"m2","cell":3,"phase":"%s","size":1.5,"up_since_ms":%d,"new":{}}`
--- a/internal/serve/inventory/list.go
+++ b/internal/serve/inventory/list.go
@@ -7,7 +7,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/jsonval"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // List is the inventory, or changes to it.
--- a/internal/south/crossings_test.go
+++ b/internal/south/crossings_test.go
@@ -11,7 +11,7 @@
 
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // outcomes holds what a Client reports, in order.
--- a/internal/south/pool.go
+++ b/internal/south/pool.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/sock"
 )
 
--- a/internal/south/south_test.go
+++ b/internal/south/south_test.go
@@ -16,7 +16,7 @@
 	"liftgauge/balance"
 	"liftgauge/internal/http1"
 	"liftgauge/internal/load"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 const (
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -11,7 +11,7 @@
 
 	"liftgauge/internal/budget"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/owner"
+	"liftgauge/internal/serve/owner"
 )
 
 // MaxHTTP is the most bytes that a job's data or result may have where one side speaks HTTP.
