--- a/cmd/liftgauge/main_test.go
+++ b/cmd/liftgauge/main_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"liftgauge/internal/config"
-	"liftgauge/internal/north"
+	"liftgauge/internal/serve/north"
 )
 
 func run(args ...string) (string, error) {
--- a/cmd/liftgauge/pulls.go
+++ b/cmd/liftgauge/pulls.go
@@ -16,8 +16,8 @@
 	"liftgauge/internal/config"
 	"liftgauge/internal/gearman"
 	"liftgauge/internal/http1"
-	"liftgauge/internal/north"
 	"liftgauge/internal/serve/control"
+	"liftgauge/internal/serve/north"
 	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/work"
 )
--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -19,10 +19,10 @@
 	"liftgauge/internal/http1"
 	"liftgauge/internal/invariant"
 	"liftgauge/internal/load"
-	"liftgauge/internal/north"
 	"liftgauge/internal/serve/control"
 	"liftgauge/internal/serve/handover"
 	"liftgauge/internal/serve/inventory"
+	"liftgauge/internal/serve/north"
 	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/south"
 )
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -17,9 +17,9 @@
 	"liftgauge/balance"
 	"liftgauge/internal/budget"
 	"liftgauge/internal/config"
-	"liftgauge/internal/north"
 	"liftgauge/internal/serve/handover"
 	"liftgauge/internal/serve/inventory"
+	"liftgauge/internal/serve/north"
 	"liftgauge/internal/serve/owner"
 	"liftgauge/internal/south"
 )
