--- a/cmd/liftgauge/serve.go
+++ b/cmd/liftgauge/serve.go
@@ -24,7 +24,7 @@
 	"liftgauge/internal/serve/inventory"
 	"liftgauge/internal/serve/north"
 	"liftgauge/internal/serve/owner"
-	"liftgauge/internal/south"
+	"liftgauge/internal/serve/south"
 )
 
 // How a planned end goes, counted from SIGTERM. New connections go on coming for up to 0.4 s, and clients use those that
--- a/cmd/liftgauge/upgrade.go
+++ b/cmd/liftgauge/upgrade.go
@@ -21,7 +21,7 @@
 	"liftgauge/internal/serve/inventory"
 	"liftgauge/internal/serve/north"
 	"liftgauge/internal/serve/owner"
-	"liftgauge/internal/south"
+	"liftgauge/internal/serve/south"
 )
 
 // node is this process as the other process of an upgrade, and the operators, meet it.
