Have an election wait for its members as long as the disks take

Cause: a candidate gave its members 1.25 s to join and become equal, which takes some six syncs of a disk one after the other, and those that had promised an epoch campaigned themselves 0.3 s later. Both waits are now six times the sync time of the own register, as it is seen, where that is longer. With disks of 50 ms a sync and less nothing changes.

Ruled out: patience that doubles after each failure: it does not tell a slow disk from a member that is gone.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -531,7 +531,7 @@
 	a.Publish(nodesItem(version(1, 1), store))
 	conn, err := a.Pool().Get(t.Context(), address)
 	is.NoErr(err)
-	for number := uint64(2); ; number++ { // silence is counted in ticks
+	for number := uint64(2); number < 10_000; number++ { // silence is counted in ticks
 		store.Incarnation = number
 		a.Publish(nodesItem(version(1, number), store))
 		select {
@@ -541,4 +541,5 @@
 		case <-time.After(time.Millisecond):
 		}
 	}
+	t.Fatal("the connection is still there")
 }
--- a/lab/mutants/recovery.go
+++ b/lab/mutants/recovery.go
@@ -118,4 +118,9 @@
 		Old: "if p.refuses && now-p.refusesSince >= stallPatience {", New: "if false {",
 		Package: "./replication",
 	},
+	{
+		Promise: "an election waits for members as long as disks take", File: "replication/candidacy.go",
+		Old: "max(2*e.o.Silence, syncsOfEqualising*e.writer.syncTime)", New: "2*e.o.Silence",
+		Package: "./replication",
+	},
 }
--- a/replication/candidacy.go
+++ b/replication/candidacy.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// syncsOfEqualising is how many syncs of a disk the members are given to join and become equal: the candidate's own join, theirs, and a repair, each with
+// another one before it.
+const syncsOfEqualising = 6
+
 type candidacyPhase uint8
 
 const (
@@ -170,7 +174,7 @@
 	case preparing:
 		e.checkPromises(c)
 	case equalising:
-		if e.now-c.phaseAt >= 2*e.o.Silence {
+		if e.now-c.phaseAt >= max(2*e.o.Silence, syncsOfEqualising*e.writer.syncTime) {
 			e.leaveOutBlocked()
 			e.abandon()
 			e.nextTry = e.now
--- a/replication/cluster_fault_test.go
+++ b/replication/cluster_fault_test.go
@@ -354,3 +354,26 @@
 		is.Equal(c.checkCalm(), "")
 	}
 }
+
+// TestElectionFollowsSlowDisks has every sync take longer than an election waits for members as a rule, as on a machine that is busy with something else, and
+// ends the primary: the election waits as long as the disks take.
+func TestElectionFollowsSlowDisks(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(10) {
+		c := newRunningCluster(t, seed, 3, 3)
+		c.slower = 800 * time.Millisecond
+		c.run(calm)
+		for _, p := range c.procs {
+			if p.elector.IsPrimary() {
+				p.stop(true)
+			}
+		}
+		begun := c.now
+		for c.primary() == nil && c.now-begun < time.Minute && c.failure == "" {
+			c.run(100 * time.Millisecond)
+		}
+		is.Equal(c.failure, "")
+		t.Logf("seed %d: elected after %v", seed, c.now-begun)
+		is.True(c.now-begun < 20*time.Second)
+	}
+}
--- a/replication/cluster_test.go
+++ b/replication/cluster_test.go
@@ -26,7 +26,8 @@
 	lastAck  time.Duration
 	longest  time.Duration // between two acknowledgements
 	failure  string
-	unjudged bool // two groups run side by side on purpose: what is read and begun with is not compared
+	slower   time.Duration // each sync of a disk takes so much longer
+	unjudged bool          // two groups run side by side on purpose: what is read and begun with is not compared
 	trace    func(format string, args ...any)
 }
 
@@ -422,7 +423,7 @@
 		return
 	}
 	p.syncing = true
-	p.later(p.c.between(500*time.Microsecond, 2*time.Millisecond), func() {
+	p.later(p.c.slower+p.c.between(500*time.Microsecond, 2*time.Millisecond), func() {
 		p.syncing = false
 		for range len(p.storage.pending) {
 			p.storage.sync()
--- a/replication/elector.go
+++ b/replication/elector.go
@@ -305,7 +305,8 @@
 	answer, changed := e.witness.Prepare(from.Member, m)
 	answer.Leaving = e.resigned
 	if answer.Granted && from.Member != e.o.Self.Member {
-		e.nextTry = max(e.nextTry, e.now+e.o.Silence/2) // the candidate gets time to finish
+		patience := max(e.o.Silence/2, syncsOfEqualising*e.writer.syncTime)
+		e.nextTry = max(e.nextTry, e.now+patience) // the candidate gets time to finish
 	}
 	e.writer.changed(e, changed)
 	e.writer.answer(e, from, answer)
--- a/replication/registerwriter.go
+++ b/replication/registerwriter.go
@@ -1,11 +1,16 @@
 package replication
 
+import "time"
+
 // registerWriter sees to it that no answer leaves before the register that it speaks for is on disk.
 type registerWriter struct {
 	issued  uint64 // token of the newest register handed out to be written
 	written uint64 // token of the newest register on disk
 	stale   bool   // the register has to be handed out again
 	held    []heldAnswer
+
+	issuedAt time.Duration // when the oldest register that is not on disk was handed out
+	syncTime time.Duration // how long it takes until one is on disk: the longest of late
 }
 
 // heldAnswer waits for a register to be written.
@@ -28,6 +33,9 @@
 		return
 	}
 	w.stale = false
+	if w.issued == w.written {
+		w.issuedAt = e.now
+	}
 	w.issued++
 	register := e.witness.Register
 	register.Installed = register.Installed.Clone()
@@ -52,6 +60,10 @@
 		}
 		return
 	}
+	if token > w.written {
+		w.syncTime = max(e.now-w.issuedAt, w.syncTime/2)
+		w.issuedAt = e.now
+	}
 	w.written = max(w.written, token)
 	for len(w.held) > 0 && w.held[0].token <= w.written {
 		first := w.held[0]
