Have a control process that cannot reach the platform give up its duty

Cause: the reader of the platform's list kept its duty as long as it had a session, however long it read nothing; dispatchers read for themselves then, each within its share. After half of DrainMs without a whole reading (a second at least) it makes no calls any more and says so in its heartbeats; the primary looks for another, and those that gave the duty up come last for 30 s. A primary of the version before ignores the field and goes on to remind the holder, which then reads again in the same term, with its numbers going on.

Ruled out: to go on reading until another has the duty: with the platform down for all, every control process would call at the full rate. Forced: TestHolderThatCannotReadTheListGivesTheDutyUp. TestNewerSender's picture of a later version has the new field before its own.

--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -133,6 +133,7 @@
 	c.bool(&m.Full)
 	c.strings(&m.Stuck)
 	c.bool(&m.Stalled)
+	c.bool(&m.ListUnread)
 	c.strings(&m.Notes)
 }
 
--- a/internal/protocol/node.go
+++ b/internal/protocol/node.go
@@ -55,6 +55,8 @@
 	Stuck []string
 	// Stalled says that the store's disk finishes nothing, or refuses writes.
 	Stalled bool
+	// ListUnread says that this control process has the duty of reading the platform's list, and has not succeeded for a while.
+	ListUnread bool
 }
 
 // Offer names a learner of a partition that has all records.
--- a/internal/protocol/node_codec.go
+++ b/internal/protocol/node_codec.go
@@ -38,6 +38,7 @@
 	c.bool(&m.Full)
 	c.strings(&m.Stuck)
 	c.bool(&m.Stalled)
+	c.bool(&m.ListUnread)
 }
 
 // Append implements Message.
--- a/internal/roles/control/daemon.go
+++ b/internal/roles/control/daemon.go
@@ -36,7 +36,7 @@
 	waiting      []*waiter
 	orders       orderQueue
 	orderLimit   int64 // bytes of an order
-	reader       listReader
+	reader       *listReader
 	ending       bool          // a planned end has begun
 	witnessUntil time.Duration // a planned end waits no longer to be left out of the witnesses
 	began        time.Duration // when the process began
--- a/internal/roles/control/duty.go
+++ b/internal/roles/control/duty.go
@@ -16,18 +16,23 @@
 const (
 	rankOther   = 0
 	rankPrimary = 1
+	rankUnread  = 2 // and more: it gave the duty up lately
 )
 
+// unreadFor is how long a process that could not read the list comes after all others.
+const unreadFor = 30 * time.Second
+
 // dutyState runs the election of the list reader. The heartbeats of control processes count as their bids.
 type dutyState struct {
 	primary *primary
 	round   *election.Round
-	durable election.Award // on disk at the whole view
+	durable election.Award           // on disk at the whole view
+	unread  map[string]time.Duration // by node: when it could not read the list last
 }
 
 func newDutyState(p *primary) dutyState {
 	award := p.model.duties[dutyReader]
-	return dutyState{primary: p, round: election.New(election.Options{}, award), durable: award}
+	return dutyState{primary: p, round: election.New(election.Options{}, award), durable: award, unread: make(map[string]time.Duration)}
 }
 
 // begin makes the duty vacant if its holder has no session.
@@ -43,14 +48,22 @@
 }
 
 // heartbeat takes the bid of a control process, or reminds it that it has the duty.
-func (s *dutyState) heartbeat(now time.Duration, node protocol.Node) {
+func (s *dutyState) heartbeat(now time.Duration, node protocol.Node, listUnread bool) {
 	if node.Leaving {
 		return
 	}
+	if listUnread && s.round.Current() == s.durable && s.round.Resign(holderOf(node)) {
+		s.primary.daemon.logger.Warn("control: the holder of a duty cannot reach the platform; another is looked for", zap.String("duty", dutyReader),
+			zap.String("holder", node.Key))
+		s.unread[node.Key] = now
+	}
 	rank := rankOther
 	if node.Key == s.primary.daemon.agent.Node().Key {
 		rank = rankPrimary
 	}
+	if at, gaveUp := s.unread[node.Key]; gaveUp && now-at < unreadFor {
+		rank = rankUnread + int((unreadFor-(now-at))/time.Second) // who gave it up first comes first
+	}
 	s.round.Bid(now, election.Bid{Holder: holderOf(node), Rank: rank})
 	if !s.durable.Vacant() && s.durable.Holder == holderOf(node) && s.round.Current() == s.durable {
 		s.notify(node)
--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -21,29 +23,49 @@
 	reader    *workerlist.Reader
 	published protocol.ItemVersion // of the list that this term published last
 	stopped   bool
+	readAt    time.Duration // when this term last read the list whole, or began
+	// unread says that this was too long ago. The process makes no calls then, and says so in its heartbeats until it is given the duty anew; the
+	// agent's goroutine reads it.
+	unread atomic.Bool
 }
 
-func newListReader(d *daemon) listReader {
-	return listReader{daemon: d, client: network.Client(d.environment.Network, instances.CallTimeout)}
+// unreadAfter is how long the holder of the duty may fail to read the list before it gives the duty up: half of the time that the list may be
+// old, and a few calls at least.
+func (r *listReader) unreadAfter() time.Duration {
+	return max(r.daemon.settings.Bounds.Drain()/2, leastUnread)
+}
+
+const leastUnread = time.Second
+
+func newListReader(d *daemon) *listReader {
+	return &listReader{daemon: d, client: network.Client(d.environment.Network, instances.CallTimeout)}
 }
 
 // begin starts the duty of a term.
 func (r *listReader) begin(term uint64) {
-	if term <= r.term || r.daemon.settings.CloudApi.Address == "" {
+	again := term == r.term && r.unread.Load() // by a primary of a version that knows nothing of unread lists
+	if term <= r.term && !again || r.daemon.settings.CloudApi.Address == "" {
 		return
 	}
 	r.daemon.logger.Info("control: reading the platform's list", zap.Uint64("term", term))
-	r.term, r.stopped, r.published = term, false, protocol.ItemVersion{}
+	if !again {
+		r.published = protocol.ItemVersion{}
+	}
+	r.term, r.stopped, r.readAt = term, false, r.daemon.now()
+	r.unread.Store(false)
 	r.reader = workerlist.NewReader(workerlist.Options{RatePerS: r.daemon.settings.CloudApi.RatePerS})
 	r.step(term)
 }
 
 // stop ends the duty.
-func (r *listReader) stop() { r.stopped = true }
+func (r *listReader) stop() {
+	r.stopped = true
+	r.unread.Store(false)
+}
 
 // mayRead tells whether the duty of a term is still this process's, as far as it knows.
 func (r *listReader) mayRead(term uint64) bool {
-	return term == r.term && !r.stopped && r.daemon.agent.View().WorkersVersion.Term <= term
+	return term == r.term && !r.stopped && !r.unread.Load() && r.daemon.agent.View().WorkersVersion.Term <= term
 }
 
 // step makes the next call, or waits for its time.
@@ -79,9 +101,11 @@
 			r.daemon.logger.Warn("control: the platform's list cannot be read", zap.Int("status", status), reason(err))
 		}
 		if complete {
+			r.readAt = now
 			r.publish(changed)
 		}
 	}
+	r.unread.Store(now-r.readAt >= r.unreadAfter())
 	r.step(term)
 }
 
--- a/internal/roles/control/run.go
+++ b/internal/roles/control/run.go
@@ -145,9 +145,11 @@
 
 func (p *process) startAgent() error {
 	d := p.daemon
+	d.reader = newListReader(d)
 	started, err := agent.Start(agent.Options{
 		Settings: p.settings, Role: protocol.RoleControl, Member: d.self.Member, Logger: p.logger, Handle: d.handle,
 		OnClose: d.connectionClosed,
+		Report:  func(h *protocol.Heartbeat) { h.ListUnread = d.reader.unread.Load() },
 		RPC:     rpc.Options{Network: d.environment.Network},
 	})
 	if err != nil {
@@ -156,7 +158,6 @@
 	d.agent = started
 	d.began = started.Steady()
 	d.links = newLinks(started.Pool(), d.loop, d.linkChanged)
-	d.reader = newListReader(d)
 	started.Subscribe(func(*agent.View, []protocol.ItemKind) { d.loop.post(d.reviewWaiting) })
 	return nil
 }
--- a/internal/roles/control/sessions.go
+++ b/internal/roles/control/sessions.go
@@ -60,7 +60,7 @@
 			p.placement.planWanted = true
 		}
 	case protocol.RoleControl:
-		p.duty.heartbeat(now, h.Node)
+		p.duty.heartbeat(now, h.Node, h.ListUnread)
 	}
 	return true
 }
--- a/internal/roles/control/stores_test.go
+++ b/internal/roles/control/stores_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -183,6 +184,23 @@
 	is.True(dispatcher.View().WorkersVersion.Term > term)
 }
 
+// TestHolderThatCannotReadTheListGivesTheDutyUp has the platform out of reach of all processes but one: the duty goes on until that one has it.
+func TestHolderThatCannotReadTheListGivesTheDutyUp(t *testing.T) {
+	c := newCluster(t, 3)
+	_, address := startPlatform(t, "w-1")
+	for _, m := range c.machines {
+		m.settings.CloudApi.Address = net.JoinHostPort(c.ip(99), "1") // nobody listens there
+	}
+	c.machine(3).settings.CloudApi.Address = address
+	c.startAll()
+	c.await(c.startDispatcher(20), "the list", func(v *agent.View) bool { return len(v.Workers.Workers) == 1 })
+	c.machine(3).onLoop(c, func(d *daemon) {
+		if !d.reader.mayRead(d.reader.term) || d.reader.unread.Load() {
+			t.Error("another has the duty")
+		}
+	})
+}
+
 func TestCopiesShareZonesOnlyWhereNoLossOfZonesIsToBeBorne(t *testing.T) {
 	for _, c := range []struct {
 		tolerance      nodeconfig.FaultTolerance
--- a/lab/mutants/recovery.go
+++ b/lab/mutants/recovery.go
@@ -123,4 +123,9 @@
 		Old: "max(2*e.o.Silence, syncsOfEqualising*e.writer.syncTime)", New: "2*e.o.Silence",
 		Package: "./replication",
 	},
+	{
+		Promise: "a holder that cannot reach the platform gives the duty up", File: "internal/roles/control/duty.go",
+		Old: "if listUnread && s.round", New: "if false && s.round",
+		Package: "./internal/roles/control",
+	},
 }
