Add liftlab upgrade-trial: roll the whole system under traffic

Nine real processes are rolled from one program to another, zone by zone or by role in any order, also back, also with a store that loses its disk half way. It fails if an accepted message has not run in the end or a process does not end as planned.

--- a/cmd/liftlab/main.go
+++ b/cmd/liftlab/main.go
@@ -34,7 +34,7 @@
 		SilenceErrors:     true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	cmd.AddCommand(demoCommand(), overheadCommand(), gearmanCommand(), captureCommand(), checkCommand(), planCommand(), fleetCommand(), fleetLogCommand(), membersCommand(), clusterCommand(), memberCostCommand(), proxyCommand(), siteVariantCommand(), trialDayCommand(), systemCommand(), systemDemoCommand(), mutantsCommand(), ablateCommand())
+	cmd.AddCommand(demoCommand(), overheadCommand(), gearmanCommand(), captureCommand(), checkCommand(), planCommand(), fleetCommand(), fleetLogCommand(), membersCommand(), clusterCommand(), memberCostCommand(), proxyCommand(), siteVariantCommand(), trialDayCommand(), systemCommand(), systemDemoCommand(), upgradeTrialCommand(), mutantsCommand(), ablateCommand())
 	return cmd
 }
 
--- a/lab/systemdemo/demo.go
+++ b/lab/systemdemo/demo.go
@@ -31,7 +31,8 @@
 	PerSecond int           // messages
 	For       time.Duration // of traffic; 0 until the context ends
 	Faults    bool
-	Folder    string // for settings, data and logs; empty for one that is removed at the end
+	Upgrade   *Upgrade // instead of faults; nil for none
+	Folder    string   // for settings, data and logs; empty for one that is removed at the end
 	Out       io.Writer
 	Live      bool // the line is written over itself
 }
@@ -186,7 +187,10 @@
 
 // breakThings kills one process after the other and starts it again, until the context ends.
 func (d *demo) breakThings(ctx context.Context) error {
-	if !d.options.Faults {
+	switch {
+	case d.options.Upgrade != nil:
+		return d.upgrade(ctx, d.options.Upgrade)
+	case !d.options.Faults:
 		return nil
 	}
 	wait := firstFault
--- a/lab/systemdemo/demo_test.go
+++ b/lab/systemdemo/demo_test.go
@@ -67,3 +67,20 @@
 	is.True(m.start(filepath.Join(t.TempDir(), "none")) != nil)
 	m.kill() // nothing runs: nothing happens
 }
+
+func TestUpgradeSequence(t *testing.T) {
+	is := is.New(t)
+	machines := layout(t.TempDir())
+	all, err := (&Upgrade{}).sequence(machines)
+	is.NoErr(err)
+	is.Equal(all, machines)
+	byRole, err := (&Upgrade{Order: []string{"store", "control", "dispatcher"}}).sequence(machines)
+	is.NoErr(err)
+	is.Equal(len(byRole), 9)
+	is.Equal(byRole[0].role, "store")
+	is.Equal(byRole[3].role, "control")
+	for _, wrong := range [][]string{{"stores"}, {"store"}, {"store", "store", "control"}} {
+		_, err := (&Upgrade{Order: wrong}).sequence(machines)
+		is.True(err != nil)
+	}
+}
--- a/lab/systemdemo/machines.go
+++ b/lab/systemdemo/machines.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,6 +35,8 @@
 	data    string // empty without a disk
 	command *exec.Cmd
 	ended   chan struct{}
+	binary  string // that it was started with last
+	started bool   // its settings were written for a first start
 }
 
 // layout returns the machines of the demonstration: in each of three zones a dispatcher, a control process and a store.
@@ -70,7 +73,8 @@
 	serves := map[string]string{"control": nodeconfig.ServesControl, "store": nodeconfig.ServesStorage, "dispatcher": nodeconfig.ServesEdge}
 	var b strings.Builder
 	fmt.Fprintf(&b, "NodeName = %q\nServes = [%q]\nIp = %q\nZone = %q\nRegion = \"loopback\"\n", m.name, serves[m.role], m.ip, m.zone)
-	fmt.Fprintf(&b, "InternalPortRange = [%d, %d]\nSeedNodes = [\"%s\"]\nBootstrap = true\n", firstInternalPort, lastInternalPort, strings.Join(seeds, `","`))
+	fmt.Fprintf(&b, "InternalPortRange = [%d, %d]\nSeedNodes = [\"%s\"]\nBootstrap = %v\n", firstInternalPort, lastInternalPort, strings.Join(seeds, `","`), !m.started)
+	m.started = true
 	if m.data != "" {
 		fmt.Fprintf(&b, "CountsForQuorum = true\nDataDir = %q\n", m.data)
 		if err := os.MkdirAll(m.data, 0o750); err != nil {
@@ -106,7 +110,7 @@
 		return errors.Wrapf(err, "start %s %s", binary, m.role)
 	}
 	ended := make(chan struct{})
-	m.command, m.ended = command, ended
+	m.command, m.ended, m.binary = command, ended, binary
 	go func() {
 		_ = command.Wait()
 		close(ended)
@@ -114,6 +118,32 @@
 	return nil
 }
 
+// end ends the process as planned, and kills it where that takes too long. It tells whether it ended by itself.
+func (m *machine) end(within time.Duration) bool {
+	if m.command == nil {
+		return true
+	}
+	_ = m.command.Process.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case <-m.ended:
+		m.command = nil
+		return true
+	case <-timer.C:
+		m.kill()
+		return false
+	}
+}
+
+// loseDisk empties the disk of a machine whose process is down.
+func (m *machine) loseDisk() error {
+	if err := os.RemoveAll(m.data); err != nil {
+		return err
+	}
+	return os.MkdirAll(m.data, 0o750)
+}
+
 // kill ends the process at once, and waits for its end.
 func (m *machine) kill() {
 	if m.command == nil {
