Wake and list only what there is to do when a dispatcher greets a store

Now only services with something ready are sorted, partitions are gone through only where the dispatcher has something out, and the nodes are walked in place.

--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -42,13 +43,22 @@
 	return v.Nodes[place], true
 }
 
+// Each goes through the nodes of a role that have a session, in order of their keys.
+func (v *View) Each(role protocol.Role) iter.Seq[*protocol.Node] {
+	return func(yield func(*protocol.Node) bool) {
+		for i := range v.Nodes {
+			if v.Nodes[i].Role == role && !yield(&v.Nodes[i]) {
+				return
+			}
+		}
+	}
+}
+
 // Live returns the nodes of a role that have a session, in order of their keys.
 func (v *View) Live(role protocol.Role) []protocol.Node {
 	var live []protocol.Node
-	for i := range v.Nodes {
-		if v.Nodes[i].Role == role {
-			live = append(live, v.Nodes[i])
-		}
+	for node := range v.Each(role) {
+		live = append(live, *node)
 	}
 	return live
 }
--- a/internal/roles/store/session.go
+++ b/internal/roles/store/session.go
@@ -45,8 +45,10 @@
 			s.queue.Held(now, h.Partition, h.ID, h.Attempt, name)
 		}
 		s.queue.Resume(name, m.Zone)
-		for _, p := range s.sorted() {
-			s.giveUpUnlisted(now, one, p)
+		if s.queue.HasOut(name) {
+			for _, p := range s.sorted() {
+				s.giveUpUnlisted(now, one, p)
+			}
 		}
 	} else {
 		s.greet(c, one, m.Zone)
@@ -140,7 +142,7 @@
 
 // allGreeted reports whether every live dispatcher has said what it holds by a partition table as new as version.
 func (s *store) allGreeted(version protocol.ItemVersion) bool {
-	for _, node := range s.view.Live(protocol.RoleDispatcher) {
+	for node := range s.view.Each(protocol.RoleDispatcher) {
 		one := s.sessions[sessionName(node.Key, node.Incarnation)]
 		if one == nil || one.table.Less(version) {
 			return false
--- a/queue/backlog_test.go
+++ b/queue/backlog_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// BenchmarkResume reports what it costs that a dispatcher says again that it is open, with many services and nothing ready. Each dispatcher does so whenever
+// the nodes, the workers or the configuration change.
+func BenchmarkResume(b *testing.B) {
+	q := backlog(300, 300, 0)
+	for {
+		if _, found := q.Next(0); !found {
+			break
+		}
+	}
+	slots := map[string]int{"service-0": 1}
+	for b.Loop() {
+		q.Resume(worker, "zone")
+		q.SetSlots(worker, slots)
+	}
+}
+
 // One destination with a large backlog and nobody to serve it does not hold up another.
 func TestDeadServiceDoesNotHoldUpOthers(t *testing.T) {
 	is := is.New(t)
--- a/queue/dispatcher.go
+++ b/queue/dispatcher.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// HasOut tells whether anything is out at a dispatcher.
+func (q *Queue) HasOut(name string) bool {
+	d := q.dispatchers[name]
+	return d != nil && len(d.handOuts) > 0
+}
+
 // GiveUpUnlisted gives out again what a dispatcher has not got, by a list of what it holds of a partition that it knows to be in an epoch:
 // it drops what arrives later with a lower epoch. A hand-out of another store that it once held and does not list has ended there.
 func (q *Queue) GiveUpUnlisted(now time.Duration, name string, partition uint32, epoch uint64, holding []Holding) {
--- a/queue/service.go
+++ b/queue/service.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -197,8 +198,16 @@
 	}
 }
 
+// wakeAll wakes every service with something ready, in order of their names.
 func (q *Queue) wakeAll() {
-	for _, name := range sortedKeys(q.services) {
-		q.wake(q.services[name])
+	var ready []*service
+	for _, s := range q.services {
+		if !s.queued && s.ready() > 0 {
+			ready = append(ready, s)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+	for _, s := range ready {
+		q.wake(s)
 	}
 }
