Choose a dispatcher without looking at all of them

Cause: each hand-out looked every open dispatcher up by its name and compared its hand-outs, so a message cost more the more dispatchers there were. Those of the own zone are looked at first and apart, without a look-up, and one that has nothing of the service out is taken at once. The choice is the one of before: own zone, then fewest out, in turn among equals.

--- a/queue/backlog_test.go
+++ b/queue/backlog_test.go
@@ -67,6 +67,39 @@
 	}
 }
 
+// BenchmarkHandOutAmongDispatchers reports what a hand-out and its end cost with few and with many dispatchers open, of which an eighth is in the own zone.
+func BenchmarkHandOutAmongDispatchers(b *testing.B) {
+	for _, dispatchers := range []int{24, 240} {
+		b.Run(fmt.Sprint(dispatchers), func(b *testing.B) {
+			var q *queue.Queue
+			fill := func() {
+				q = backlog(100_000, 1, 0)
+				for n := range dispatchers {
+					zone := "other"
+					if n%8 == 0 {
+						zone = "a"
+					}
+					q.Resume(fmt.Sprint("edge-", n), zone)
+				}
+			}
+			fill()
+			for n := 1; b.Loop(); n++ {
+				d, found := q.Next(0)
+				if !found {
+					b.Fatalf("nothing to hand out after %d", n)
+				}
+				q.Outcome(0, d.Partition, d.ID, d.Attempt, queue.Succeeded, 0)
+				q.Settle(0, d.Partition, d.ID)
+				if n%90_000 == 0 {
+					b.StopTimer()
+					fill()
+					b.StartTimer()
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkResume reports what it costs that a dispatcher says again that it is open, with many services and nothing ready. Each dispatcher does so whenever
 // the nodes, the workers or the configuration change.
 func BenchmarkResume(b *testing.B) {
--- a/queue/dispatcher.go
+++ b/queue/dispatcher.go
@@ -59,9 +59,8 @@
 // Resume opens a dispatcher for hand-outs.
 func (q *Queue) Resume(name, zone string) {
 	d := q.dispatcher(name)
-	d.zone = zone
-	if !d.open {
-		d.open = true
+	if !d.open || d.zone != zone {
+		d.open, d.zone = true, zone
 		q.listOpen()
 	}
 	q.wakeAll()
@@ -163,10 +162,14 @@
 }
 
 func (q *Queue) listOpen() {
-	q.openDispatchers = q.openDispatchers[:0]
+	q.near, q.far = q.near[:0], q.far[:0]
 	for _, name := range sortedKeys(q.dispatchers) {
-		if q.dispatchers[name].open {
-			q.openDispatchers = append(q.openDispatchers, name)
+		switch d := q.dispatchers[name]; {
+		case !d.open:
+		case d.zone == q.options.Zone:
+			q.near = append(q.near, d)
+		default:
+			q.far = append(q.far, d)
 		}
 	}
 }
@@ -179,30 +182,51 @@
 
 // choose returns the dispatcher with the fewest hand-outs of the service among those of the own zone that have room, else among all.
 func (q *Queue) choose(s *service) *dispatcher {
-	names := s.window.Owners
-	if names == nil {
-		names = q.openDispatchers
+	q.rotation++
+	if s.window.Owners != nil {
+		return q.chooseOwner(s)
 	}
-	if len(names) == 0 {
-		return nil
+	if d := q.leastOut(s, q.near); d != nil {
+		return d
 	}
-	q.rotation++
+	return q.leastOut(s, q.far)
+}
+
+// chooseOwner chooses among the few dispatchers that the service is placed on.
+func (q *Queue) chooseOwner(s *service) *dispatcher {
+	var near, far []*dispatcher
+	for _, name := range s.window.Owners {
+		switch d := q.dispatchers[name]; {
+		case d == nil:
+		case d.zone == q.options.Zone:
+			near = append(near, d)
+		default:
+			far = append(far, d)
+		}
+	}
+	if d := q.leastOut(s, near); d != nil {
+		return d
+	}
+	return q.leastOut(s, far)
+}
+
+// leastOut returns the dispatcher of a list that has room and the fewest hand-outs of the service, in turn among equals. One that has none is taken
+// without a look at the rest: with more dispatchers than hand-outs, which is the rule, the cost does not grow with their number.
+func (q *Queue) leastOut(s *service, list []*dispatcher) *dispatcher {
 	var best *dispatcher
-	for index := range names {
-		d := q.dispatchers[names[(index+q.rotation)%len(names)]]
-		if d == nil || !d.room(s) {
+	fewest := 0
+	for index := range list {
+		d := list[(index+q.rotation)%len(list)]
+		if !d.room(s) {
 			continue
 		}
-		if best == nil || q.better(s, d, best) {
-			best = d
+		out := s.outAt[d]
+		if out == 0 {
+			return d
+		}
+		if best == nil || out < fewest {
+			best, fewest = d, out
 		}
 	}
 	return best
 }
-
-func (q *Queue) better(s *service, a, b *dispatcher) bool {
-	if aNear, bNear := a.zone == q.options.Zone, b.zone == q.options.Zone; aNear != bNear {
-		return aNear
-	}
-	return s.outAt[a] < s.outAt[b]
-}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -19,21 +19,21 @@
 
 // Queue holds the messages of the partitions that a store is primary of. It is not safe for use by several goroutines.
 type Queue struct {
-	options         Options
-	revision        Revision
-	partitions      map[uint32]*partition
-	lanes           map[laneKey]*lane
-	services        map[string]*service
-	dispatchers     map[string]*dispatcher
-	openDispatchers []string   // names, sorted
-	runnable        []*service // services that may have something to hand out, each once
-	waiting         indexedHeap[*message]
-	expiry          indexedHeap[*message]
-	deadlines       indexedHeap[*handOut]
-	gates           indexedHeap[*service]
-	ended           []Transition // ends that Advance has still to report
-	handOuts        uint64       // hand-outs ever made
-	rotation        int
+	options     Options
+	revision    Revision
+	partitions  map[uint32]*partition
+	lanes       map[laneKey]*lane
+	services    map[string]*service
+	dispatchers map[string]*dispatcher
+	near, far   []*dispatcher // those that are open, of the own zone and of others, in order of their names
+	runnable    []*service    // services that may have something to hand out, each once
+	waiting     indexedHeap[*message]
+	expiry      indexedHeap[*message]
+	deadlines   indexedHeap[*handOut]
+	gates       indexedHeap[*service]
+	ended       []Transition // ends that Advance has still to report
+	handOuts    uint64       // hand-outs ever made
+	rotation    int
 }
 
 // New returns an empty queue.
