--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -121,7 +121,8 @@
 	}
 	s.markHeld(now, p.number)
 	s.logger.Info("became primary of a partition", zap.Uint32("partition", p.number), zap.Uint64("epoch", epoch),
-		zap.Int("messages", s.queue.Len(p.number)))
+		zap.Int("messages", s.queue.Len(p.number)), zap.Time("cluster_time", s.agent.ClusterTime()),
+		zap.Bool("synchronized", s.agent.Synchronized()))
 }
 
 // Deposed implements replication.Events.
