The cluster time goes on across restarts of the whole core

What callers saw: messages that were accepted and waited were reported as dead_letter 82 to 84 s after they were sent, with RetentionS 90 (LOST, MIXED), and delays were cut by as much, where the time of day of some machines jumped back and later ahead, and all of control and all stores were killed after each jump.

Cause, by the trace of the commit before: the cluster time was kept nowhere. After a restart of all, the first primary of control made its time of day the cluster time, and stores rebuilt their queues even before that by their own. DueAt and ExpiresAt are absolute cluster times, so each message lost as much of its delay and retention as the time of day had moved between two restarts.

Mended: each process with a disk keeps checkpoints of the cluster time together with the machine's steady clock and time of day (clustertime, agent.timekeeper). The steady clock goes on while processes restart, so a process on a machine that has been running knows the time exactly. After a loss of power the time of day tells how long it was; a primary that does not know the time waits for the reports of all processes with a disk, 0.5 s at most, and takes a running clock if there is one, else the lowest estimate, but no less than the highest checkpoint. A process that does not know the time starts at its checkpoint and not at its time of day; until it knows it, a store leads no partition, and the reader of the worker list publishes no time.

The model's machines have clocks of their own now, and its checker knows RetentionS: a dead letter whose retention is over is no break.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,10 +15,13 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"liftgauge/clustertime"
 	"liftgauge/dissemination"
+	"liftgauge/internal/machineclock"
 	"liftgauge/internal/nodeconfig"
 	"liftgauge/internal/protocol"
 	"liftgauge/internal/rpc"
+	"liftgauge/replication"
 )
 
 const (
@@ -54,8 +57,11 @@
 	ListenAddress string
 	// Incarnation overrides the random incarnation, for tests.
 	Incarnation uint64
-	// WallClock and SteadyClock override the system's clocks, for tests.
-	WallClock   func() time.Time
+	// Storage keeps the cluster time for the next process on this disk; nil without a disk. It must be safe for concurrent use.
+	Storage replication.Storage
+	// Clocks reads the clocks of the machine; machineclock.Read by default.
+	Clocks func() clustertime.Reading
+	// SteadyClock overrides the steady clock of the process, for tests.
 	SteadyClock func() time.Duration
 	// RPC holds the limits of connections; its OnClose and Logger are ignored.
 	RPC rpc.Options
@@ -71,6 +77,8 @@
 	accepted atomic.Int64 // steady time at which the last accepted heartbeat was sent
 	clock    *clock
 
+	timekeeper *timekeeper
+
 	server    *rpc.Server
 	datagrams *rpc.DatagramSocket
 	pool      *rpc.Pool
@@ -91,10 +99,12 @@
 	a := &Agent{
 		options: o, logger: o.Logger,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		clock:  newClock(o.SteadyClock(), o.WallClock()),
 		loop:   newLoop(),
 		items:  newItems(o.GossipInterval, o.SteadyClock()),
 	}
+	started := o.SteadyClock()
+	a.timekeeper = newTimekeeper(o.Storage, o.Clocks, started, o.Logger)
+	a.clock = startClock(started, a.timekeeper.resumed, o.Clocks().Wall)
 	a.view.Store(&View{})
 	a.accepted.Store(int64(o.SteadyClock()))
 	a.node.Store(&protocol.Node{
@@ -129,8 +139,8 @@
 	for o.Incarnation == 0 {
 		o.Incarnation = rand.Uint64()
 	}
-	if o.WallClock == nil {
-		o.WallClock = time.Now
+	if o.Clocks == nil {
+		o.Clocks = machineclock.Read
 	}
 	if o.SteadyClock == nil {
 		start := time.Now()
@@ -234,20 +244,34 @@
 // Pool returns the connections to other processes; frames received on them are passed to Options.Handle.
 func (a *Agent) Pool() *rpc.Pool { return a.pool }
 
-// ClusterTime returns the cluster time; it never goes back within a process.
+// ClusterTime returns the cluster time; it never goes back within a process. Before the process is synchronized it is far behind.
 func (a *Agent) ClusterTime() time.Time { return a.clock.now(a.options.SteadyClock()) }
 
-// Synchronized reports whether the cluster time has been obtained from control, or set, since the start.
+// Synchronized reports whether the cluster time is known: from control, from a checkpoint since which the machine has been running, or as it
+// was set.
 func (a *Agent) Synchronized() bool { return a.clock.isSynchronized() }
 
+// aheadTolerance is how far ahead of control's time this process may be for its time to be used.
+const aheadTolerance = 50 * time.Millisecond
+
+// TimeUsable reports whether the cluster time is known and not ahead of control's, so that nothing that it measures ends early.
+func (a *Agent) TimeUsable() bool {
+	return a.clock.isSynchronized() && !a.clock.isAhead(a.Steady(), aheadTolerance)
+}
+
 // Steady returns the time since a fixed point in the life of this process, on a monotonic clock.
 func (a *Agent) Steady() time.Duration { return a.options.SteadyClock() }
 
 // SessionAge returns the time since the last accepted heartbeat was sent, or since the start.
 func (a *Agent) SessionAge() time.Duration { return a.Steady() - time.Duration(a.accepted.Load()) }
 
-// SetClock slews the cluster time towards the steady clock plus offset, counted from 1970. It is used by control's primary.
-func (a *Agent) SetClock(offset time.Duration) { a.clock.set(a.Steady(), offset) }
+// SetClusterTime sets the cluster time if it is not known yet, and slews it towards the given one, since 1970, if it is. It is used by control's
+// primary.
+func (a *Agent) SetClusterTime(at time.Duration) {
+	now := a.Steady()
+	a.clock.set(now, at-now)
+	a.checkpointSoon()
+}
 
 // Reload applies new settings; only the seeds can change.
 func (a *Agent) Reload(s *nodeconfig.Settings) {
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"liftgauge/clustertime"
 )
 
 const (
@@ -22,14 +24,29 @@
 	at            time.Duration // steady time at which offset was last updated
 	offset        time.Duration // cluster time since 1970 minus steady time
 	target        time.Duration // value that offset approaches
-	bestRoundTrip time.Duration
+	assumed       time.Duration // used in place of target for what others read, while it is not synchronized
+	bestRoundTrip time.Duration // of the samples; 0 before the first one
+	sampled       bool
 	synchronized  bool
 	converged     bool // the target has been reached once
 }
 
-func newClock(steady time.Duration, wall time.Time) *clock {
-	offset := time.Duration(wall.UnixNano()) - steady
-	return &clock{at: steady, offset: offset, target: offset}
+// newClock returns a clock that starts at a time that the cluster time has reached.
+func newClock(steady time.Duration, start time.Time) *clock {
+	offset := time.Duration(start.UnixNano()) - steady
+	return &clock{at: steady, offset: offset, target: offset, assumed: offset}
+}
+
+// startClock returns the clock of a process that starts with an estimate. Unless it is certain, the clock is not synchronized and starts at
+// the estimate's floor, so that it is not ahead when the first sample arrives.
+func startClock(steady time.Duration, e clustertime.Estimate, wall time.Duration) *clock {
+	c := newClock(steady, time.Unix(0, int64(e.Floor)))
+	if e.Certainty == clustertime.Certain {
+		c.synchronized, c.converged = true, true
+		return c
+	}
+	c.assumed = wall - steady
+	return c
 }
 
 // now returns the cluster time at a steady time.
@@ -70,13 +87,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	trip := received - sent
-	if c.synchronized && trip > 2*c.bestRoundTrip+roundTripSlack {
+	if c.sampled && trip > 2*c.bestRoundTrip+roundTripSlack {
 		c.bestRoundTrip += c.bestRoundTrip/bestTripDecay + roundTripSlack/bestTripDecay
 		return
 	}
-	if !c.synchronized || trip < c.bestRoundTrip {
+	if !c.sampled || trip < c.bestRoundTrip {
 		c.bestRoundTrip = trip
 	}
+	c.sampled = true
 	c.setTarget(received, time.Duration(clusterTime)-(sent+trip/2))
 }
 
@@ -104,9 +122,20 @@
 	return c.synchronized
 }
 
+// isAhead reports whether the clock is ahead of its target by more than a tolerance.
+func (c *clock) isAhead(steady, tolerance time.Duration) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.advance(steady)
+	return c.offset-c.target > tolerance
+}
+
 // steadyAt converts a cluster time to steady time, by the current target.
 func (c *clock) steadyAt(clusterTime int64) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.synchronized {
+		return time.Duration(clusterTime) - c.assumed
+	}
 	return time.Duration(clusterTime) - c.target
 }
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -72,7 +72,7 @@
 	if !ok {
 		return
 	}
-	h := protocol.Heartbeat{Node: a.Node(), Digest: a.Digest()}
+	h := protocol.Heartbeat{Node: a.Node(), Digest: a.Digest(), Time: protocol.NewTimeReport(a.TimeEstimate())}
 	if a.options.Report != nil {
 		a.options.Report(&h)
 	}
@@ -118,7 +118,7 @@
 		a.session.accept(address, sent, received)
 		a.accepted.Store(int64(sent))
 		if r.ClusterTime != 0 && address != a.Node().Address {
-			a.clock.sample(sent, received, r.ClusterTime)
+			a.sampleTime(sent, received, r.ClusterTime)
 		}
 	default:
 		a.session.refuse(address, r.Primary, received)
@@ -135,6 +135,16 @@
 	}
 }
 
+// sampleTime passes a sample of the cluster time to the clock.
+func (a *Agent) sampleTime(sent, received time.Duration, clusterTime int64) {
+	known := a.clock.isSynchronized()
+	a.clock.sample(sent, received, clusterTime)
+	if !known {
+		a.timekeeper.due = 0
+		a.logger.Info("agent: cluster time obtained from control", zap.Time("cluster_time", a.ClusterTime()))
+	}
+}
+
 func (a *Agent) logSession(address, named string, err error) {
 	if a.session.open {
 		a.logger.Info("agent: session with control established", zap.String("primary", address))
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -72,6 +72,7 @@
 		now := a.Steady()
 		a.tickItems(now)
 		a.tickSession(now)
+		a.tickCheckpoint(now)
 		timer.Reset(max(a.nextWake()-a.Steady(), 0))
 	}
 }
@@ -82,5 +83,8 @@
 	if due, ok := a.session.next(); ok {
 		next = min(next, due)
 	}
+	if a.timekeeper.storage != nil {
+		next = min(next, a.timekeeper.due)
+	}
 	return next
 }
--- /dev/null
+++ b/internal/agent/timekeeper_test.go
@@ -0,0 +1,171 @@
+package agent
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"liftgauge/clustertime"
+	"liftgauge/internal/protocol"
+	"liftgauge/replication"
+)
+
+// memoryStorage holds records of one group.
+type memoryStorage struct {
+	replication.Storage
+	mutex   sync.Mutex
+	records map[string]replication.Record
+	written chan struct{} // one token for each append
+}
+
+func newMemoryStorage() *memoryStorage {
+	return &memoryStorage{records: map[string]replication.Record{}, written: make(chan struct{}, 1000)}
+}
+
+// Append implements replication.Storage.
+func (s *memoryStorage) Append(_ uint32, records []replication.Record, done func(error)) {
+	s.mutex.Lock()
+	for _, r := range records {
+		s.records[r.Key] = r
+	}
+	s.mutex.Unlock()
+	go done(nil)
+	s.written <- struct{}{}
+}
+
+// Get implements replication.Storage.
+func (s *memoryStorage) Get(_ uint32, key string) (replication.Record, bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	r, found := s.records[key]
+	return r, found, nil
+}
+
+// testClocks are the clocks of a machine whose steady clock runs, and whose time of day is off.
+type testClocks struct {
+	mutex     sync.Mutex
+	boot      string
+	started   time.Time
+	wallError time.Duration
+}
+
+func (c *testClocks) read() clustertime.Reading {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return clustertime.Reading{Boot: c.boot, Steady: time.Since(c.started), Wall: time.Duration(time.Now().UnixNano()) + c.wallError}
+}
+
+func (c *testClocks) set(boot string, wallError time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.boot, c.wallError = boot, wallError
+}
+
+// aheadOfWall is how far the cluster time is ahead of the time of day in these tests.
+const aheadOfWall = time.Hour
+
+// tellTime makes replies tell a cluster time ahead of the machine's clock by so much.
+func (c *fakeControl) tellTime(ahead time.Duration) {
+	c.setAnswer(func(*protocol.Heartbeat) protocol.HeartbeatReply {
+		return protocol.HeartbeatReply{Accepted: true, ClusterTime: time.Now().Add(ahead).UnixNano()}
+	})
+}
+
+// startWithCheckpoint returns storage with a checkpoint of a process that was synchronized and has ended.
+func startWithCheckpoint(t *testing.T, clocks *testClocks) *memoryStorage {
+	storage := newMemoryStorage()
+	control := startControl(t, uniqueLoopback())
+	control.tellTime(aheadOfWall)
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.read})
+	<-storage.written
+	a.Close()
+	return storage
+}
+
+// difference returns how far the agent's cluster time is ahead of the one that was told.
+func difference(a *Agent) time.Duration { return time.Until(a.ClusterTime()) - aheadOfWall }
+
+func TestProcessGoesOnWithTheClusterTimeOfAnEarlierOne(t *testing.T) {
+	is := is.New(t)
+	clocks := &testClocks{boot: "first", started: time.Now().Add(-time.Hour)}
+	storage := startWithCheckpoint(t, clocks)
+	clocks.set("first", -4*time.Second)
+	control := startControl(t, uniqueLoopback()) // tells no time
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.read})
+	is.True(a.Synchronized())
+	is.True(a.TimeUsable())
+	is.True(difference(a).Abs() < time.Second)
+	awaitAccepted(a, control)
+	h := <-control.heartbeats
+	is.Equal(h.Time.Certainty, clustertime.Certain)
+}
+
+func TestProcessAfterARebootWaitsForControlsTime(t *testing.T) {
+	is := is.New(t)
+	clocks := &testClocks{boot: "first", started: time.Now().Add(-time.Hour)}
+	storage := startWithCheckpoint(t, clocks)
+	clocks.set("second", 4*time.Second)
+	control := startControl(t, uniqueLoopback())
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.read})
+	is.True(!a.Synchronized())
+	is.True(!a.TimeUsable())
+	is.True(difference(a) < time.Second) // it begins at the checkpoint, not four seconds ahead
+	h := <-control.heartbeats
+	is.Equal(h.Time.Certainty, clustertime.Estimated)
+	is.True(h.Time.Time-h.Time.Floor >= int64(4*time.Second))
+	control.tellTime(aheadOfWall)
+	awaitSynchronized(a)
+	is.True(a.TimeUsable())
+	is.True(difference(a).Abs() < time.Second)
+}
+
+// awaitSynchronized polls until the agent knows the cluster time.
+func awaitSynchronized(a *Agent) {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for !a.Synchronized() {
+		<-ticker.C
+	}
+}
+
+func TestProcessThatIsAheadOfControlDoesNotUseItsTime(t *testing.T) {
+	is := is.New(t)
+	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour}, 0)
+	is.True(!c.isAhead(0, aheadTolerance))
+	c.sample(0, 0, int64(time.Hour-3*time.Second)) // control has settled on less while this process was down
+	is.True(c.isAhead(time.Second, aheadTolerance))
+	is.True(!c.isAhead(2*time.Minute, aheadTolerance))
+}
+
+func TestFirstSampleOfAResumedClockIsSlewed(t *testing.T) {
+	is := is.New(t)
+	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour}, 0)
+	c.sample(0, 20*time.Millisecond, int64(time.Hour+time.Second)) // a long round trip is no reason to discard the first sample
+	is.Equal(c.target, time.Hour+time.Second-10*time.Millisecond)
+	is.Equal(time.Duration(c.now(time.Second).UnixNano()).Round(time.Millisecond), time.Hour+time.Second+49*time.Millisecond)
+}
+
+func TestClockThatKnowsNothingReadsTheWorkerListsAgeByTheTimeOfDay(t *testing.T) {
+	is := is.New(t)
+	c := startClock(time.Minute, clustertime.Estimate{}, 10*time.Hour)
+	is.Equal(c.steadyAt(int64(10*time.Hour)), time.Minute)
+	c.sample(time.Minute, time.Minute, int64(11*time.Hour))
+	is.Equal(c.steadyAt(int64(11*time.Hour)), time.Minute)
+}
+
+func TestCheckpointsAreWrittenWhenClocksDiffer(t *testing.T) {
+	is := is.New(t)
+	k := newTimekeeper(newMemoryStorage(), (&testClocks{}).read, 0, zap.NewNop())
+	at := func(passed, cluster, wall time.Duration) clustertime.Checkpoint {
+		return clustertime.Checkpoint{Cluster: cluster, Reading: clustertime.Reading{Steady: passed, Wall: wall}}
+	}
+	is.True(k.isWanted(0, at(0, 0, 0))) // the first one
+	k.written, k.last = true, at(0, 0, 0)
+	is.True(!k.isWanted(time.Second, at(time.Second, time.Second, time.Second)))
+	is.True(k.isWanted(time.Second, at(time.Second, time.Second, 2*time.Second)))                           // the time of day has jumped
+	is.True(k.isWanted(time.Second, at(time.Second, time.Second+5*time.Millisecond, time.Second)))          // the cluster time is another one
+	is.True(k.isWanted(checkpointInterval, at(checkpointInterval, checkpointInterval, checkpointInterval))) // it is old
+}
--- /dev/null
+++ b/internal/machineclock/doc.go
@@ -0,0 +1,2 @@
+// Package machineclock reads the clocks of the machine.
+package machineclock
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -136,6 +136,7 @@
 	c.strings(&m.UnreachablePeers)
 	c.bool(&m.DiskStalled)
 	c.bool(&m.WorkerListStale)
+	c.nested(&m.Time)
 	c.strings(&m.Notes)
 }
 
@@ -155,13 +156,15 @@
 func TestDecodesMessageOfNewerVersion(t *testing.T) {
 	is := is.New(t)
 	newer := newerHeartbeat{
-		Heartbeat: Heartbeat{Offers: []PromotionOffer{{Partition: 5, Epoch: 7, Learner: "s/1"}}, PartitionsLed: 3, DiskFull: true},
-		Node:      newerNode{Node: fullNode, Cores: 4},
-		Notes:     []string{"new", "field"},
+		Heartbeat: Heartbeat{
+			Offers: []PromotionOffer{{Partition: 5, Epoch: 7, Learner: "s/1"}}, PartitionsLed: 3, DiskFull: true, Time: TimeReport{Floor: 8, Time: 9},
+		},
+		Node:  newerNode{Node: fullNode, Cores: 4},
+		Notes: []string{"new", "field"},
 	}
 	var m Heartbeat
 	is.NoErr(m.Decode(encode(&newer, nil)))
-	is.Equal(m, Heartbeat{Node: fullNode, Offers: newer.Offers, PartitionsLed: 3, DiskFull: true})
+	is.Equal(m, Heartbeat{Node: fullNode, Offers: newer.Offers, PartitionsLed: 3, DiskFull: true, Time: newer.Time})
 }
 
 // TestEncodingIsStable compares the exact bytes, to detect changes of the field order or encoding.
--- a/internal/protocol/node.go
+++ b/internal/protocol/node.go
@@ -1,5 +1,11 @@
 package protocol
 
+import (
+	"time"
+
+	"liftgauge/clustertime"
+)
+
 // Role is the function of a process in the system.
 type Role uint8
 
@@ -58,6 +64,32 @@
 	// WorkerListStale reports that this control process is responsible for reading the platform's worker list and has not succeeded for
 	// some time.
 	WorkerListStale bool
+	Time            TimeReport
+}
+
+// TimeReport is what a process knows of the cluster time when it sends a heartbeat.
+type TimeReport struct {
+	Certainty clustertime.Certainty
+	Floor     int64 // nanoseconds since 1970; 0 unless it differs from Time
+	Time      int64 // nanoseconds since 1970
+}
+
+// NewTimeReport returns the report of an estimate.
+func NewTimeReport(e clustertime.Estimate) TimeReport {
+	r := TimeReport{Certainty: e.Certainty, Time: int64(e.Time)}
+	if e.Floor != e.Time {
+		r.Floor = int64(e.Floor)
+	}
+	return r
+}
+
+// Estimate returns the reported estimate.
+func (r TimeReport) Estimate() clustertime.Estimate {
+	floor := r.Floor
+	if floor == 0 {
+		floor = r.Time
+	}
+	return clustertime.Estimate{Certainty: r.Certainty, Floor: time.Duration(floor), Time: time.Duration(r.Time)}
 }
 
 // PromotionOffer names a learner of a partition that has all records and can become a full member.
--- a/internal/protocol/node_codec.go
+++ b/internal/protocol/node_codec.go
@@ -39,6 +39,13 @@
 	c.strings(&m.UnreachablePeers)
 	c.bool(&m.DiskStalled)
 	c.bool(&m.WorkerListStale)
+	c.nested(&m.Time)
+}
+
+func (m *TimeReport) fields(c *coder) {
+	byteEnum(c, &m.Certainty)
+	c.int64(&m.Floor)
+	c.int64(&m.Time)
 }
 
 // Append implements Message.
--- a/internal/roles/control/activation.go
+++ b/internal/roles/control/activation.go
@@ -70,8 +70,7 @@
 		return
 	}
 	d.logger.Info("control: active primary", zap.Uint64("epoch", epoch), zap.Int("nodes", len(m.nodes)),
-		zap.Int("partitions", len(m.partitions)), zap.Time("cluster_time", d.agent.ClusterTime()),
-		zap.Bool("synchronized", d.agent.Synchronized()))
+		zap.Int("partitions", len(m.partitions)))
 	d.primary.begin()
 	d.retryPendingCalls()
 	d.nextOrder()
--- a/internal/roles/control/cluster_test.go
+++ b/internal/roles/control/cluster_test.go
@@ -18,9 +18,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 
+	"liftgauge/clustertime"
 	"liftgauge/internal/agent"
 	"liftgauge/internal/nodeconfig"
 	"liftgauge/internal/protocol"
+	"liftgauge/internal/roles"
 )
 
 // testTimeout limits every wait of these tests. It is not the expected duration of anything.
@@ -45,6 +47,7 @@
 type machine struct {
 	settings *nodeconfig.Settings
 	process  *process
+	clocks   func() clustertime.Reading // nil for those of the machine that runs the test
 }
 
 func newCluster(t *testing.T, controls int) *cluster {
@@ -108,7 +111,9 @@
 func (c *cluster) start(machines ...*machine) {
 	c.t.Helper()
 	for _, m := range machines {
-		p, err := start(c.ctx, options{settings: m.settings, logger: testLogger(c.t).Named(m.settings.NodeName)})
+		p, err := start(c.ctx, options{
+			settings: m.settings, logger: testLogger(c.t).Named(m.settings.NodeName), environment: roles.Environment{Clocks: m.clocks},
+		})
 		if err != nil {
 			c.t.Fatal(err)
 		}
--- a/internal/roles/control/handle.go
+++ b/internal/roles/control/handle.go
@@ -61,7 +61,10 @@
 	var r protocol.HeartbeatReply
 	if p := d.primary; p != nil {
 		r.Accepted = p.heartbeat(d.now(), h)
-		r.ClusterTime = d.agent.ClusterTime().UnixNano()
+		p.reportTime(d.now(), h)
+		if p.clusterTime.settled {
+			r.ClusterTime = d.agent.ClusterTime().UnixNano()
+		}
 	}
 	r.Primary, _ = d.primaryAddress()
 	r.Digest = d.agent.Digest()
--- a/internal/roles/control/primary.go
+++ b/internal/roles/control/primary.go
@@ -31,6 +31,7 @@
 	duty                 dutyState
 	tolerance            toleranceWatch
 	epochs               epochWatch
+	clusterTime          timeSettlement
 }
 
 func newPrimary(d *daemon, epoch, activation uint64, m *model) (*primary, error) {
@@ -44,6 +45,7 @@
 	p.sessions = newSessions(now, m)
 	p.placement = newPlacementState(now)
 	p.duty = newDutyState(p)
+	p.clusterTime = newTimeSettlement(now, m)
 	return p, nil
 }
 
@@ -60,9 +62,9 @@
 	return nil
 }
 
-// begin sets the cluster clock and publishes all items from the loaded records.
+// begin settles the cluster time, if that needs no reports, and publishes all items from the loaded records.
 func (p *primary) begin() {
-	p.daemon.agent.SetClock(time.Duration(p.daemon.agent.ClusterTime().UnixNano()) - p.daemon.agent.Steady())
+	p.settleTime(p.since)
 	p.duty.begin()
 	p.items.publishAll()
 	p.daemon.probeStores(p)
@@ -110,6 +112,7 @@
 }
 
 func (p *primary) tick(now time.Duration) {
+	p.settleTime(now)
 	p.tickSessions(now)
 	p.tickPlacement(now)
 	p.duty.tick(now)
--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -113,6 +113,15 @@
 func (r *listReader) publish(changed bool) {
 	list := r.reader.List()
 	a := r.daemon.agent
+	if !a.Synchronized() {
+		term := r.term
+		r.daemon.loop.after(timeRetry, func() {
+			if r.mayRead(term) {
+				r.publish(changed)
+			}
+		})
+		return
+	}
 	readAt := a.ClusterTime().Add(list.ReadAt - a.Steady()).UnixNano()
 	if !changed && r.published != (protocol.ItemVersion{}) {
 		a.PublishWorkersFresh(protocol.WorkersFreshness{Version: r.published, ReadAt: readAt})
--- a/internal/roles/control/recovery.go
+++ b/internal/roles/control/recovery.go
@@ -77,7 +77,7 @@
 func (d *daemon) snapshotOf(records []replication.Record, confirmed bool) []byte {
 	view := d.elector.View()
 	s := snapshot.Snapshot{
-		Node: d.agent.Node().Key, TakenAt: d.agent.ClusterTime(), Epoch: max(view.Epoch, d.replica.JoinedEpoch()), Generation: d.elector.Generation(),
+		Node: d.agent.Node().Key, TakenAt: d.presentTime(), Epoch: max(view.Epoch, d.replica.JoinedEpoch()), Generation: d.elector.Generation(),
 		Confirmed: confirmed, Records: records,
 	}
 	return s.Encode()
--- a/internal/roles/control/run.go
+++ b/internal/roles/control/run.go
@@ -151,6 +151,7 @@
 		OnClose: d.connectionClosed,
 		Report:  func(h *protocol.Heartbeat) { h.WorkerListStale = d.reader.stale.Load() },
 		RPC:     rpc.Options{Network: d.environment.Network},
+		Storage: p.storage, Clocks: d.environment.Clocks,
 	})
 	if err != nil {
 		return errors.Wrap(err, "starting on the internal address")
--- a/internal/roles/dispatcher/dispatcher.go
+++ b/internal/roles/dispatcher/dispatcher.go
@@ -85,6 +85,7 @@
 	var links atomic.Pointer[stores.Links]
 	a, err := agent.Start(agent.Options{
 		Settings: settings, Role: protocol.RoleDispatcher, Logger: logger, Handle: handler(&links), RPC: rpc.Options{Network: e.Network},
+		Clocks: e.Clocks,
 	})
 	if err != nil {
 		return err
--- a/internal/roles/store/fake_test.go
+++ b/internal/roles/store/fake_test.go
@@ -29,7 +29,9 @@
 	nodes      map[string]protocol.Node
 	heartbeats map[string]protocol.Heartbeat
 	leaves     []protocol.Leave
-	number     map[protocol.ItemKind]uint64
+	// timeUnsettled makes replies tell no cluster time.
+	timeUnsettled bool
+	number        map[protocol.ItemKind]uint64
 }
 
 func startControl(t *testing.T) *fakeControl {
@@ -62,7 +64,10 @@
 			c.nodes[m.Node.Key] = m.Node
 			c.heartbeats[m.Node.Key] = m
 		}
-		answer := protocol.HeartbeatReply{Accepted: true, ClusterTime: time.Now().UnixNano()}
+		answer := protocol.HeartbeatReply{Accepted: true}
+		if !c.timeUnsettled {
+			answer.ClusterTime = time.Now().UnixNano()
+		}
 		reply(answer.Append(nil), nil)
 	case protocol.KindLeave:
 		var m protocol.Leave
--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -44,6 +44,7 @@
 
 	// Used by the primary:
 	leading        bool // active in an epoch and not deposed since
+	awaitsTime     bool // the replica is active, and leading waits for the cluster time
 	epoch          uint64
 	earlierLeases  []earlierLease // granted to the previous primary, as far as they may be valid
 	helloDeadline  time.Duration  // the primary stops waiting for dispatchers at this time
@@ -103,12 +104,34 @@
 
 // Active implements replication.Events. A primary that stays primary in a later epoch keeps its queue.
 func (p *partition) Active(epoch uint64) {
-	s := p.store
-	now := s.now()
 	p.epoch = epoch
 	if p.leading {
 		return
 	}
+	p.awaitsTime = true
+	p.leadOnceTimeIsKnown()
+}
+
+// timeRetry is the interval at which partitions that wait for the cluster time check it.
+const timeRetry = 10 * time.Millisecond
+
+// leadOnceTimeIsKnown begins to lead, unless the cluster time cannot be used yet: by a time that is behind, new messages would end before their
+// retention is over, and by one that is ahead, waiting ones would.
+func (p *partition) leadOnceTimeIsKnown() {
+	s := p.store
+	if !s.agent.TimeUsable() {
+		s.awaitingTime = true
+		s.wakeAt(s.now() + timeRetry)
+		return
+	}
+	p.awaitsTime = false
+	p.lead(p.epoch)
+}
+
+// lead makes this store the primary, with a queue from the records.
+func (p *partition) lead(epoch uint64) {
+	s := p.store
+	now := s.now()
 	p.leading = true
 	s.queue.SetEpoch(p.number, epoch)
 	p.helloDeadline, p.hellosComplete = now+p.helloTimeout(), false
@@ -127,7 +150,7 @@
 
 // Deposed implements replication.Events.
 func (p *partition) Deposed(epoch uint64) {
-	p.leading, p.blockedSince = false, 0
+	p.leading, p.awaitsTime, p.blockedSince = false, false, 0
 	p.offers = nil
 	p.store.queue.Drop(p.number)
 	p.store.bodies.drop(p.number)
--- a/internal/roles/store/run.go
+++ b/internal/roles/store/run.go
@@ -91,7 +91,7 @@
 	s.queue = queue.New(queue.Options{Match: s.matchRoute, Zone: o.settings.Zone})
 	s.agent, err = agent.Start(agent.Options{
 		Settings: o.settings, Role: protocol.RoleStore, Member: member, Logger: o.logger, ListenAddress: o.listenAddress,
-		Handle: s.handle, Report: s.report.fill, OnClose: s.handleClose,
+		Handle: s.handle, Report: s.report.fill, OnClose: s.handleClose, Storage: log, Clocks: o.environment.Clocks,
 		RPC: rpc.Options{Network: o.environment.Network},
 	})
 	if err != nil {
--- a/internal/roles/store/shutdown.go
+++ b/internal/roles/store/shutdown.go
@@ -54,7 +54,7 @@
 func (s *store) leaveCluster() {
 	s.shutdown.leaving = true
 	for _, p := range s.sortedPartitions() {
-		if p.leading {
+		if p.leading || p.awaitsTime {
 			p.replica.Close()
 			p.Deposed(p.epoch)
 		}
--- a/internal/roles/store/store.go
+++ b/internal/roles/store/store.go
@@ -50,6 +50,7 @@
 	bodies       *bodyCache
 	pendingBytes int
 	diskStalled  bool // the disk does not complete writes, or refuses them
+	awaitingTime bool // partitions wait for the cluster time
 	nextWake     time.Duration
 	nextTick     time.Duration
 	lastStep     time.Duration
@@ -124,6 +125,7 @@
 	s.nextWake = queue.Never
 	s.detectPause(now)
 	s.checkDisk(now)
+	s.leadAwaiting()
 	if now >= s.nextTick {
 		s.tick(now)
 	}
@@ -137,6 +139,19 @@
 	return min(s.nextWake, s.queue.NextWake(), s.nextTick)
 }
 
+// leadAwaiting begins to lead the partitions that were waiting for the cluster time.
+func (s *store) leadAwaiting() {
+	if !s.awaitingTime {
+		return
+	}
+	s.awaitingTime = false
+	for _, p := range s.sortedPartitions() {
+		if p.awaitsTime {
+			p.leadOnceTimeIsKnown()
+		}
+	}
+}
+
 // writeEnds starts writing the final states of messages that ended because of their retention or a configuration change.
 func (s *store) writeEnds(now time.Duration) {
 	for _, t := range s.queue.Advance(now) {
--- a/sim/system/checker.go
+++ b/sim/system/checker.go
@@ -46,6 +46,7 @@
 	fifo                     bool
 	maxAttempts              int
 	timeout, delay           time.Duration
+	retention                time.Duration // the message ends so long after it was sent
 	body                     string
 	sent, accepted, began    time.Time // began: start of the first run
 	status                   int       // 0 without a response
@@ -314,8 +315,8 @@
 		}
 	case state == "succeeded" && !slices.Contains(m.signatures, signature):
 		ch.addViolation("MIXED", "%s is reported as succeeded with signature %q, the workers sent %q", m.id, signature, m.signatures)
-	case state == "dead_letter" && !m.ended:
-		ch.addViolation("MIXED", "%s is reported as a dead letter but has not ended", m.id)
+	case state == "dead_letter" && !m.ended && time.Since(m.sent) < m.retention:
+		ch.addViolation("MIXED", "%s is reported as a dead letter %v after it was sent but has not ended", m.id, time.Since(m.sent))
 	}
 }
 
--- a/sim/system/clients.go
+++ b/sim/system/clients.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -82,6 +83,7 @@
 	m := &message{
 		id: fmt.Sprintf("%s-%d", c.name, n), key: c.key, service: t.Route.Backend, prefix: t.Route.PathPrefix, fifo: t.Route.Fifo && c.key != "",
 		maxAttempts: t.Route.MaxAttempts, delay: c.delay, timeout: time.Duration(t.Route.TimeoutMs) * time.Millisecond,
+		retention: seconds(cmp.Or(t.Route.RetentionS, defaultRetentionS)),
 	}
 	setDefault(&m.maxAttempts, 4)
 	setDefault(&m.timeout, time.Second)
@@ -174,6 +176,12 @@
 }
 
 func (w *World) checkState(m *message) {
+	status, state, signature := w.stateOf(m)
+	w.Checker.checkState(m, status, state, signature)
+}
+
+// stateOf queries the state of a message; status is 0 without a response.
+func (w *World) stateOf(m *message) (status int, state, signature string) {
 	status, body := w.query(m, statePath)
 	var answer struct{ State, Signature string }
 	if status == http.StatusOK {
@@ -182,7 +190,7 @@
 			return
 		}
 	}
-	w.Checker.checkState(m, status, answer.State, answer.Signature)
+	return status, answer.State, answer.Signature
 }
 
 // statePath is the path prefix under which dispatchers return the state of a message.
--- /dev/null
+++ b/sim/system/clocksteps_test.go
@@ -0,0 +1,111 @@
+package system
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"liftgauge/internal/protocol"
+)
+
+const (
+	clockStep      = 4 * time.Second
+	coreAway       = 500 * time.Millisecond
+	keptFor        = 25 * time.Second // the retention of the messages that wait
+	longestDelay   = 14 * time.Second // of messages that are due after the last jump
+	endedLateLimit = 4 * time.Second  // how long after its retention a message must have ended: the core was away twice
+)
+
+var (
+	waitingRoute = Route{Name: "r-waiting", PathPrefix: "/waiting/", Backend: "svc-b", RetentionS: keptFor.Seconds()}
+	delayedRoute = Route{Name: "r-delayed", PathPrefix: "/delayed/", Backend: "svc-a"}
+)
+
+// TestMessagesKeepTheirRetentionWhenClocksJumpAndTheCoreRestarts guards against messages that end before their retention is over, or run before
+// their delay is, because the cluster time went on from a wrong time of day after all of control and all stores had restarted.
+func TestMessagesKeepTheirRetentionWhenClocksJumpAndTheCoreRestarts(t *testing.T) {
+	for name, lose := range map[string]func(*Process) error{"killed": (*Process).Kill, "without power": (*Process).LosePower} {
+		t.Run(name, func(t *testing.T) { playClockSteps(t, clockStepDay{seed: 90, stepBefore: 2 * time.Second, lose: lose}) })
+	}
+}
+
+// TestOneRightClockIsEnoughAfterALossOfPower guards against a jump ahead where the times of day of all machines but one jump right before all of
+// them lose power, so that no checkpoint has noticed.
+func TestOneRightClockIsEnoughAfterALossOfPower(t *testing.T) {
+	playClockSteps(t, clockStepDay{seed: 91, stepBefore: 20 * time.Millisecond, most: true, lose: (*Process).LosePower})
+}
+
+// clockStepDay is a day with two restarts of the core, after jumps of clocks back and then ahead.
+type clockStepDay struct {
+	seed       uint64
+	stepBefore time.Duration // from a jump to the restart
+	most       bool          // all clocks but one jump ahead, otherwise those of control's primary and of half of the stores
+	lose       func(*Process) error
+}
+
+func playClockSteps(t *testing.T, day clockStepDay) {
+	play(t, Options{Seed: day.seed, Stores: 4}, func(t *testing.T, w *World) {
+		is := is.NewRelaxed(t)
+		status, err := w.Operator.Replace(5, w.Operator.Document(6, fifoRoute, plainRoute, pacedRoute, waitingRoute, delayedRoute), 10*time.Second)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		for _, worker := range w.Platform.Workers(waitingRoute.Backend) {
+			w.Platform.Drain(worker)
+		}
+		time.Sleep(bounds.Contact())
+		is.NoErr(day.restartCore(w, -clockStep))
+		time.Sleep(bounds.Contact())
+		begin := time.Now()
+		sent := make(chan struct{})
+		w.running.Go(func() {
+			w.Send(Traffic{Route: waitingRoute, Every: 20 * time.Millisecond}, time.Second, "waiting")
+			sent <- struct{}{}
+		})
+		w.Send(Traffic{Route: delayedRoute, Every: 20 * time.Millisecond, Delay: longestDelay}, time.Second, "delayed")
+		<-sent
+		time.Sleep(2 * time.Second)
+		is.NoErr(day.restartCore(w, clockStep))
+		time.Sleep(time.Until(begin.Add(keptFor - 500*time.Millisecond)))
+		w.Check(1000) // none of those that wait may have ended
+		time.Sleep(time.Until(begin.Add(time.Second + keptFor + endedLateLimit)))
+		waiting := 0
+		for _, m := range w.Checker.acceptedBy(waitingRoute.Backend) {
+			waiting++
+			_, state, _ := w.stateOf(m)
+			is.Equal(state, "dead_letter")
+		}
+		is.True(waiting > 20)
+	})
+}
+
+// restartCore makes clocks jump, and some time later ends all of control and all stores and starts them again. Then the clocks jump back.
+func (d clockStepDay) restartCore(w *World, step time.Duration) (failed error) {
+	core := w.withDisk()
+	stepped := append([]*Process{w.controlPrimary()}, w.ByRole(protocol.RoleStore)[:2]...)
+	if d.most {
+		stepped = core[1:]
+	}
+	w.StepClocks(stepped, step)
+	time.Sleep(d.stepBefore)
+	for _, p := range core {
+		failed = errors.Join(failed, d.lose(p))
+	}
+	time.Sleep(coreAway)
+	failed = errors.Join(failed, startEach(core))
+	time.Sleep(bounds.Contact())
+	w.StepClocks(stepped, -step)
+	return failed
+}
+
+// acceptedBy returns the accepted messages of a service that have not run.
+func (ch *Checker) acceptedBy(service string) (found []*message) {
+	open, _ := ch.acceptedMessages()
+	for _, m := range open {
+		if m.service == service {
+			found = append(found, m)
+		}
+	}
+	return found
+}
--- a/sim/system/operator.go
+++ b/sim/system/operator.go
@@ -97,13 +97,16 @@
 		setDefault(&r.TimeoutMs, 1000)
 		setDefault(&r.TargetLatencyMs, 200)
 		setDefault(&r.MaxAttempts, 4)
-		setDefault(&r.RetentionS, 90)
+		setDefault(&r.RetentionS, defaultRetentionS)
 		setDefault(&r.TargetStartMs, 800)
 		d.Routes = append(d.Routes, r)
 	}
 	return d
 }
 
+// defaultRetentionS is the RetentionS of a route that names none.
+const defaultRetentionS = 90
+
 // hostname is the Hostname of all routes.
 const hostname = "lode17.example"
 
