The opening of a connection is no part of a sample of the cluster time

What callers could see: after a loss of power, or on another disk, a store whose first heartbeat had to open its connection slowly was ahead of the cluster time by up to half of that, 0.2 s at most, and ended messages that much too early.

Cause: a sample took the time from when the heartbeat began, with the dial, and half of that for the way back of the reply. The round trip is measured from when the call goes out on an open connection now; the session still counts from before the dial, which is the safe side for it.

TestOpeningOfAConnectionIsNoPartOfASample was red before: 150 ms ahead with a dial of 300 ms.

--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -78,22 +78,31 @@
 	}
 	body := h.Append(nil)
 	sent := a.Steady()
-	a.call(address, protocol.KindHeartbeat, body, func(answer []byte, err error) {
+	a.call(address, protocol.KindHeartbeat, body, func(called time.Duration, answer []byte, err error) {
 		received := a.Steady()
-		a.loop.post(func() { a.heartbeatEnded(address, sent, received, answer, err) })
+		a.loop.post(func() { a.heartbeatEnded(address, sent, called, received, answer, err) })
 	})
 }
 
-// call sends a call over the pool without waiting; done is called on an arbitrary goroutine.
-func (a *Agent) call(address string, kind rpc.Kind, body []byte, done func([]byte, error)) {
+// call sends a call over the pool without waiting; done is called on an arbitrary goroutine, with the time at which the connection was open and
+// the call was sent on it.
+func (a *Agent) call(address string, kind rpc.Kind, body []byte, done func(called time.Duration, answer []byte, err error)) {
 	if conn := a.pool.Peek(address); conn != nil {
-		conn.CallAsync(kind, body, callTimeout, done)
+		called := a.Steady()
+		conn.CallAsync(kind, body, callTimeout, func(answer []byte, err error) { done(called, answer, err) })
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		done(a.callAndWait(ctx, address, kind, body))
+		conn, err := a.pool.Get(ctx, address)
+		called := a.Steady()
+		if err != nil {
+			done(called, nil, err)
+			return
+		}
+		answer, err := conn.Call(ctx, kind, body)
+		done(called, answer, err)
 	}()
 }
 
@@ -105,7 +114,8 @@
 	return conn.Call(ctx, kind, body)
 }
 
-func (a *Agent) heartbeatEnded(address string, sent, received time.Duration, answer []byte, err error) {
+// heartbeatEnded processes the outcome of a heartbeat: sent is when it was due and begun, called when it went out on an open connection.
+func (a *Agent) heartbeatEnded(address string, sent, called, received time.Duration, answer []byte, err error) {
 	var r protocol.HeartbeatReply
 	if err == nil {
 		err = r.Decode(answer)
@@ -118,7 +128,7 @@
 		a.session.accept(address, sent, received)
 		a.accepted.Store(int64(sent))
 		if r.ClusterTime != 0 && address != a.Node().Address {
-			a.sampleTime(sent, received, r.ClusterTime)
+			a.sampleTime(called, received, r.ClusterTime)
 		}
 	default:
 		a.session.refuse(address, r.Primary, received)
@@ -135,10 +145,11 @@
 	}
 }
 
-// sampleTime passes a sample of the cluster time to the clock.
-func (a *Agent) sampleTime(sent, received time.Duration, clusterTime int64) {
+// sampleTime passes a sample of the cluster time to the clock. The time for opening the connection is no part of the round trip, of which the
+// clock takes half for the way back.
+func (a *Agent) sampleTime(called, received time.Duration, clusterTime int64) {
 	known := a.clock.isSynchronized()
-	a.clock.sample(sent, received, clusterTime)
+	a.clock.sample(called, received, clusterTime)
 	if !known {
 		a.timekeeper.due = 0
 		a.logger.Info("agent: cluster time obtained from control", zap.Time("cluster_time", a.ClusterTime()))
--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -1,7 +1,10 @@
 package agent
 
 import (
+	"context"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,7 +12,9 @@
 	"go.uber.org/zap"
 
 	"liftgauge/clustertime"
+	"liftgauge/internal/network"
 	"liftgauge/internal/protocol"
+	"liftgauge/internal/rpc"
 	"liftgauge/replication"
 )
 
@@ -169,3 +174,45 @@
 	is.True(k.isWanted(time.Second, at(time.Second, time.Second+5*time.Millisecond, time.Second)))          // the cluster time is another one
 	is.True(k.isWanted(checkpointInterval, at(checkpointInterval, checkpointInterval, checkpointInterval))) // it is old
 }
+
+// slowNetwork is the system's network, on which opening a connection takes dialTime of the test's steady clock.
+type slowNetwork struct {
+	steady   *atomic.Int64
+	dialTime time.Duration
+}
+
+// Listen implements network.Network.
+func (slowNetwork) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// ListenPacket implements network.Network.
+func (slowNetwork) ListenPacket(address string) (network.PacketConn, error) {
+	resolved, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", resolved)
+}
+
+// DialContext implements network.Network.
+func (n slowNetwork) DialContext(ctx context.Context, protocol, address string) (net.Conn, error) {
+	n.steady.Add(int64(n.dialTime))
+	return new(net.Dialer).DialContext(ctx, protocol, address)
+}
+
+// TestOpeningOfAConnectionIsNoPartOfASample guards against a cluster time that is ahead by half of the time for opening a connection.
+func TestOpeningOfAConnectionIsNoPartOfASample(t *testing.T) {
+	is := is.New(t)
+	told := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	control := startControl(t, uniqueLoopback())
+	control.setAnswer(func(*protocol.Heartbeat) protocol.HeartbeatReply {
+		return protocol.HeartbeatReply{Accepted: true, ClusterTime: told.UnixNano()}
+	})
+	var steady atomic.Int64
+	a := start(t, Options{
+		Settings:    settingsFor(t, "n", control.server.Addr()),
+		SteadyClock: func() time.Duration { return time.Duration(steady.Load()) },
+		RPC:         rpc.Options{Network: slowNetwork{steady: &steady, dialTime: 300 * time.Millisecond}},
+	})
+	awaitSynchronized(a)
+	is.True(a.ClusterTime().Equal(told))
+}
