The age of the worker list is unknown until the cluster time is known

What could happen: a dispatcher that had restarted and not heard from control yet took the age of the worker list, which is told in cluster time, by its own time of day. With a clock that is behind, the list passed for newer than it was, and as the time of a reading only goes up also after the time had become known: the dispatcher would have read the list itself that much later, at the cost of DrainMs.

Now the time of a reading stays unknown (0, so the age counts from the process's start) until the cluster time is known, and is computed then. TestReadingOfTheWorkerListIsDisseminated and TestReadingOfANewerListIsKeptUntilTheListArrives wait for the cluster time first: without that they would compare with an unknown time and hold always.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -104,7 +104,7 @@
 	}
 	started := o.SteadyClock()
 	a.timekeeper = newTimekeeper(o.Storage, o.Clocks, started, o.Logger)
-	a.clock = startClock(started, a.timekeeper.resumed, o.Clocks().Wall)
+	a.clock = startClock(started, a.timekeeper.resumed)
 	a.view.Store(&View{})
 	a.accepted.Store(int64(o.SteadyClock()))
 	a.node.Store(&protocol.Node{
@@ -270,7 +270,7 @@
 func (a *Agent) SetClusterTime(at time.Duration) {
 	now := a.Steady()
 	a.clock.set(now, at-now)
-	a.checkpointSoon()
+	a.loop.post(a.timeBecameKnown)
 }
 
 // Reload applies new settings; only the seeds can change.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -402,7 +402,12 @@
 
 func TestReadingOfTheWorkerListIsDisseminated(t *testing.T) {
 	is := is.New(t)
-	agents := startGroup(t, startControl(t, uniqueLoopback()), 3)
+	control := startControl(t, uniqueLoopback())
+	control.tellTime(0)
+	agents := startGroup(t, control, 3)
+	for _, a := range agents {
+		awaitSynchronized(a)
+	}
 	read := agents[0].ClusterTime()
 	workers := protocol.Workers{ReadAt: read.UnixNano(), Workers: []protocol.Worker{{ID: "i-1"}}}
 	agents[0].Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: version(9, 1), Body: workers.Append(nil)})
@@ -429,7 +434,9 @@
 func TestReadingOfANewerListIsKeptUntilTheListArrives(t *testing.T) {
 	is := is.New(t)
 	control := startControl(t, uniqueLoopback())
+	control.tellTime(0)
 	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr())})
+	awaitSynchronized(a)
 	now := a.ClusterTime().UnixNano()
 	workers := protocol.Workers{ReadAt: now - int64(time.Hour)}
 	fresh := protocol.WorkersFreshness{Version: version(1, 1), ReadAt: now}
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -24,7 +24,6 @@
 	at            time.Duration // steady time at which offset was last updated
 	offset        time.Duration // cluster time since 1970 minus steady time
 	target        time.Duration // value that offset approaches
-	assumed       time.Duration // used in place of target for what others read, while it is not synchronized
 	bestRoundTrip time.Duration // of the samples; 0 before the first one
 	sampled       bool
 	synchronized  bool
@@ -34,18 +33,16 @@
 // newClock returns a clock that starts at a time that the cluster time has reached.
 func newClock(steady time.Duration, start time.Time) *clock {
 	offset := time.Duration(start.UnixNano()) - steady
-	return &clock{at: steady, offset: offset, target: offset, assumed: offset}
+	return &clock{at: steady, offset: offset, target: offset}
 }
 
 // startClock returns the clock of a process that starts with an estimate. Unless it is certain, the clock is not synchronized and starts at
 // the estimate's floor, so that it is not ahead when the first sample arrives.
-func startClock(steady time.Duration, e clustertime.Estimate, wall time.Duration) *clock {
+func startClock(steady time.Duration, e clustertime.Estimate) *clock {
 	c := newClock(steady, time.Unix(0, int64(e.Floor)))
 	if e.Certainty == clustertime.Certain {
 		c.synchronized, c.converged = true, true
-		return c
 	}
-	c.assumed = wall - steady
 	return c
 }
 
@@ -134,8 +131,5 @@
 func (c *clock) steadyAt(clusterTime int64) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.synchronized {
-		return time.Duration(clusterTime) - c.assumed
-	}
 	return time.Duration(clusterTime) - c.target
 }
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -151,7 +151,7 @@
 	known := a.clock.isSynchronized()
 	a.clock.sample(called, received, clusterTime)
 	if !known {
-		a.timekeeper.due = 0
+		a.timeBecameKnown()
 		a.logger.Info("agent: cluster time obtained from control", zap.Time("cluster_time", a.ClusterTime()))
 	}
 }
--- a/internal/agent/items.go
+++ b/internal/agent/items.go
@@ -146,11 +146,11 @@
 	return true
 }
 
-// updateWorkersReadAt sets the time at which the view's list of workers was read.
+// updateWorkersReadAt sets the time at which the view's list of workers was read. It stays unknown until the cluster time is known.
 func (a *Agent) updateWorkersReadAt(fresh protocol.WorkersFreshness) {
 	view := a.View()
-	if fresh.Version != view.WorkersVersion {
-		return // the reading is of another version, which is yet to arrive
+	if !a.clock.isSynchronized() || fresh.Version != view.WorkersVersion {
+		return // or the reading is of another version, which is yet to arrive
 	}
 	next := *view
 	next.WorkersReadAt = max(min(a.clock.steadyAt(fresh.ReadAt), a.Steady()), view.WorkersReadAt)
--- a/internal/agent/timekeeper.go
+++ b/internal/agent/timekeeper.go
@@ -95,9 +95,10 @@
 	})
 }
 
-// checkpointSoon makes the loop write a checkpoint now: the cluster time has become known, or was set.
-func (a *Agent) checkpointSoon() {
-	a.loop.post(func() { a.timekeeper.due = 0 })
+// timeBecameKnown does what was waiting for the cluster time; it runs on the loop.
+func (a *Agent) timeBecameKnown() {
+	a.timekeeper.due = 0 // write a checkpoint now
+	a.updateWorkersReadAt(a.View().WorkersFresh)
 }
 
 // TimeEstimate returns what this process knows of the cluster time.
--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -138,7 +138,7 @@
 
 func TestProcessThatIsAheadOfControlDoesNotUseItsTime(t *testing.T) {
 	is := is.New(t)
-	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour}, 0)
+	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour})
 	is.True(!c.isAhead(0, aheadTolerance))
 	c.sample(0, 0, int64(time.Hour-3*time.Second)) // control has settled on less while this process was down
 	is.True(c.isAhead(time.Second, aheadTolerance))
@@ -147,18 +147,32 @@
 
 func TestFirstSampleOfAResumedClockIsSlewed(t *testing.T) {
 	is := is.New(t)
-	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour}, 0)
+	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour})
 	c.sample(0, 20*time.Millisecond, int64(time.Hour+time.Second)) // a long round trip is no reason to discard the first sample
 	is.Equal(c.target, time.Hour+time.Second-10*time.Millisecond)
 	is.Equal(time.Duration(c.now(time.Second).UnixNano()).Round(time.Millisecond), time.Hour+time.Second+49*time.Millisecond)
 }
 
-func TestClockThatKnowsNothingReadsTheWorkerListsAgeByTheTimeOfDay(t *testing.T) {
+// TestAgeOfTheWorkerListIsUnknownUntilTheClusterTimeIs guards against a list that is taken for newer than it is, by a wrong time of day.
+func TestAgeOfTheWorkerListIsUnknownUntilTheClusterTimeIs(t *testing.T) {
 	is := is.New(t)
-	c := startClock(time.Minute, clustertime.Estimate{}, 10*time.Hour)
-	is.Equal(c.steadyAt(int64(10*time.Hour)), time.Minute)
-	c.sample(time.Minute, time.Minute, int64(11*time.Hour))
-	is.Equal(c.steadyAt(int64(11*time.Hour)), time.Minute)
+	control := startControl(t, uniqueLoopback())
+	began := time.Now().Add(-time.Hour)
+	a := start(t, Options{
+		Settings:    settingsFor(t, "n", control.server.Addr()),
+		Clocks:      (&testClocks{wallError: -4 * time.Second}).read,
+		SteadyClock: func() time.Duration { return time.Since(began) },
+	})
+	workers := protocol.Workers{ReadAt: time.Now().Add(aheadOfWall - 3*time.Second).UnixNano()}
+	a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: version(1, 1), Body: workers.Append(nil)})
+	a.loop.postAndWait(func() {})
+	is.Equal(a.View().WorkersVersion, version(1, 1))
+	is.Equal(a.View().WorkersReadAt, time.Duration(0))
+	control.tellTime(aheadOfWall)
+	awaitSynchronized(a)
+	a.loop.postAndWait(func() {})
+	age := a.Steady() - a.View().WorkersReadAt
+	is.True(age >= 2*time.Second && age < time.Minute)
 }
 
 func TestCheckpointsAreWrittenWhenClocksDiffer(t *testing.T) {
