--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"liftgauge/clustertime"
+	"liftgauge/internal/machineclock/clocktest"
 	"liftgauge/internal/network"
 	"liftgauge/internal/protocol"
 	"liftgauge/internal/rpc"
@@ -49,26 +50,6 @@
 	return r, found, nil
 }
 
-// testClocks are the clocks of a machine whose steady clock runs, and whose time of day is off.
-type testClocks struct {
-	mutex     sync.Mutex
-	boot      string
-	started   time.Time
-	wallError time.Duration
-}
-
-func (c *testClocks) read() clustertime.Reading {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return clustertime.Reading{Boot: c.boot, Steady: time.Since(c.started), Wall: time.Duration(time.Now().UnixNano()) + c.wallError}
-}
-
-func (c *testClocks) set(boot string, wallError time.Duration) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.boot, c.wallError = boot, wallError
-}
-
 // aheadOfWall is how far the cluster time is ahead of the time of day in these tests.
 const aheadOfWall = time.Hour
 
@@ -80,11 +61,11 @@
 }
 
 // startWithCheckpoint returns storage with a checkpoint of a process that was synchronized and has ended.
-func startWithCheckpoint(t *testing.T, clocks *testClocks) *memoryStorage {
+func startWithCheckpoint(t *testing.T, clocks *clocktest.Clocks) *memoryStorage {
 	storage := newMemoryStorage()
 	control := startControl(t, uniqueLoopback())
 	control.tellTime(aheadOfWall)
-	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.read})
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.Read})
 	<-storage.written
 	a.Close()
 	return storage
@@ -95,11 +76,12 @@
 
 func TestProcessGoesOnWithTheClusterTimeOfAnEarlierOne(t *testing.T) {
 	is := is.New(t)
-	clocks := &testClocks{boot: "first", started: time.Now().Add(-time.Hour)}
-	storage := startWithCheckpoint(t, clocks)
-	clocks.set("first", -4*time.Second)
+	var clocks clocktest.Clocks
+	clocks.Boot("first", time.Hour)
+	storage := startWithCheckpoint(t, &clocks)
+	clocks.Step(-4 * time.Second)
 	control := startControl(t, uniqueLoopback()) // tells no time
-	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.read})
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.Read})
 	is.True(a.Synchronized())
 	is.True(a.TimeUsable())
 	is.True(difference(a).Abs() < time.Second)
@@ -110,11 +92,13 @@
 
 func TestProcessAfterARebootWaitsForControlsTime(t *testing.T) {
 	is := is.New(t)
-	clocks := &testClocks{boot: "first", started: time.Now().Add(-time.Hour)}
-	storage := startWithCheckpoint(t, clocks)
-	clocks.set("second", 4*time.Second)
+	var clocks clocktest.Clocks
+	clocks.Boot("first", time.Hour)
+	storage := startWithCheckpoint(t, &clocks)
+	clocks.Boot("second", time.Minute)
+	clocks.Step(4 * time.Second)
 	control := startControl(t, uniqueLoopback())
-	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.read})
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Storage: storage, Clocks: clocks.Read})
 	is.True(!a.Synchronized())
 	is.True(!a.TimeUsable())
 	is.True(difference(a) < time.Second) // it begins at the checkpoint, not four seconds ahead
@@ -158,9 +142,11 @@
 	is := is.New(t)
 	control := startControl(t, uniqueLoopback())
 	began := time.Now().Add(-time.Hour)
+	var clocks clocktest.Clocks
+	clocks.Step(-4 * time.Second)
 	a := start(t, Options{
 		Settings:    settingsFor(t, "n", control.server.Addr()),
-		Clocks:      (&testClocks{wallError: -4 * time.Second}).read,
+		Clocks:      clocks.Read,
 		SteadyClock: func() time.Duration { return time.Since(began) },
 	})
 	workers := protocol.Workers{ReadAt: time.Now().Add(aheadOfWall - 3*time.Second).UnixNano()}
@@ -177,7 +163,7 @@
 
 func TestCheckpointsAreWrittenWhenClocksDiffer(t *testing.T) {
 	is := is.New(t)
-	k := newTimekeeper(newMemoryStorage(), (&testClocks{}).read, 0, zap.NewNop())
+	k := newTimekeeper(newMemoryStorage(), new(clocktest.Clocks).Read, 0, zap.NewNop())
 	at := func(passed, cluster, wall time.Duration) clustertime.Checkpoint {
 		return clustertime.Checkpoint{Cluster: cluster, Reading: clustertime.Reading{Steady: passed, Wall: wall}}
 	}
--- a/sim/system/clocksteps_test.go
+++ b/sim/system/clocksteps_test.go
@@ -26,8 +26,12 @@
 // TestMessagesKeepTheirRetentionWhenClocksJumpAndTheCoreRestarts guards against messages that end before their retention is over, or run before
 // their delay is, because the cluster time went on from a wrong time of day after all of control and all stores had restarted.
 func TestMessagesKeepTheirRetentionWhenClocksJumpAndTheCoreRestarts(t *testing.T) {
-	for name, lose := range map[string]func(*Process) error{"killed": (*Process).Kill, "without power": (*Process).LosePower} {
-		t.Run(name, func(t *testing.T) { playClockSteps(t, clockStepDay{seed: 90, stepBefore: 2 * time.Second, lose: lose}) })
+	for name, day := range map[string]clockStepDay{
+		"killed":             {seed: 90, stepBefore: 2 * time.Second, lose: (*Process).Kill},
+		"killed at the jump": {seed: 92, stepBefore: 20 * time.Millisecond, most: true, lose: (*Process).Kill},
+		"without power":      {seed: 90, stepBefore: 2 * time.Second, lose: (*Process).LosePower},
+	} {
+		t.Run(name, func(t *testing.T) { playClockSteps(t, day) })
 	}
 }
 
--- a/sim/system/world.go
+++ b/sim/system/world.go
@@ -21,6 +21,7 @@
 
 	"go.uber.org/zap"
 
+	"liftgauge/internal/machineclock/clocktest"
 	"liftgauge/internal/nodeconfig"
 	"liftgauge/internal/protocol"
 	"liftgauge/internal/roles"
@@ -88,7 +89,7 @@
 	done        chan struct{}
 	incarnation atomic.Int32
 	random      *rand.Rand // decides what survives a power loss on the disk
-	clocks      machineClocks
+	clocks      clocktest.Clocks
 }
 
 // NewWorld returns a system whose processes are not started yet.
@@ -139,8 +140,8 @@
 	p := &Process{Name: name, Role: role, IP: ip, world: w, zone: zone}
 	if role != protocol.RoleDispatcher {
 		p.random = rand.New(rand.NewPCG(w.options.Seed, hash(name+role.String())))
-		p.clocks.boot(p.random)
 		p.folder = p.nextFolder()
+		p.boot()
 	}
 	w.Processes = append(w.Processes, p)
 }
@@ -224,7 +225,7 @@
 	if p.Up() {
 		return nil
 	}
-	environment := roles.Environment{Clocks: p.clocks.read}
+	environment := roles.Environment{Clocks: p.clocks.Read}
 	if p.folder != "" {
 		if err := os.MkdirAll(p.folder, 0o750); err != nil {
 			return err
@@ -291,7 +292,7 @@
 	before := p.folder
 	p.folder = p.nextFolder()
 	if power {
-		p.clocks.boot(p.random)
+		p.boot()
 		return p.disk.CopyAfterPowerLoss(before, p.folder, p.random)
 	}
 	return p.disk.CopyAfterKill(before, p.folder)
