A process that is ahead of control's time does not pass its own time on

It tells and keeps the time that it agreed on with control now, and slows by half (not by 5%) until it is back at it, also where it started with a certain time.

A settlement waits for each of the processes that have a session, and not for as many reports: one of a new, empty disk could have stood for the one machine whose clock is right.

TestProcessThatIsAheadOfControlDoesNotUseItsTime and TestTheLowestEstimateCountsOnceAllHaveReported are sharper and fail without these (mutants in lab/mutants/clustertime.go).

--- a/clustertime/settlement.go
+++ b/clustertime/settlement.go
@@ -8,8 +8,8 @@
 // lowest estimate counts, so that one machine with the right time of day is enough to prevent a jump ahead, but no less than the highest
 // floor, so that the cluster time does not go back.
 type Settlement struct {
-	processes int // that are expected to report
-	reports   map[string]report
+	expected []string // processes
+	reports  map[string]report
 }
 
 // report is the estimate that a process made at a moment.
@@ -18,9 +18,9 @@
 	at       time.Duration // on the steady clock of the caller
 }
 
-// NewSettlement returns a settlement that waits for the reports of a number of processes.
-func NewSettlement(processes int) *Settlement {
-	return &Settlement{processes: processes, reports: make(map[string]report)}
+// NewSettlement returns a settlement that waits for the reports of the given processes; others may report as well.
+func NewSettlement(expected []string) *Settlement {
+	return &Settlement{expected: expected, reports: make(map[string]report)}
 }
 
 // Report records the estimate of a process, which replaces an earlier one. now is on the steady clock of the caller.
@@ -45,12 +45,21 @@
 	if certain != 0 {
 		return max(certain, floor), true
 	}
-	if lowest == 0 || !final && len(s.reports) < s.processes {
+	if lowest == 0 || !final && !s.isComplete() {
 		return 0, false
 	}
 	return max(lowest, floor), true
 }
 
+func (s *Settlement) isComplete() bool {
+	for _, process := range s.expected {
+		if _, reported := s.reports[process]; !reported {
+			return false
+		}
+	}
+	return true
+}
+
 // lower returns the lower of two times, where 0 stands for none.
 func lower(a, b time.Duration) time.Duration {
 	if a == 0 {
--- a/clustertime/settlement_test.go
+++ b/clustertime/settlement_test.go
@@ -11,7 +11,7 @@
 
 func TestARunningClockDecidesAtOnce(t *testing.T) {
 	is := is.New(t)
-	s := NewSettlement(5)
+	s := NewSettlement([]string{"a", "b", "c"})
 	s.Report(0, "a", Estimate{Estimated, then - 2*time.Second, then + 4*time.Second})
 	_, ok := s.Settle(0, false)
 	is.True(!ok)
@@ -23,9 +23,10 @@
 
 func TestTheLowestEstimateCountsOnceAllHaveReported(t *testing.T) {
 	is := is.New(t)
-	s := NewSettlement(3)
+	s := NewSettlement([]string{"a", "b", "c"})
 	s.Report(0, "a", Estimate{Estimated, then - 9*time.Second, then + 4*time.Second})
 	s.Report(0, "b", Estimate{Estimated, then - 3*time.Second, then + 3*time.Second})
+	s.Report(0, "of another machine", Estimate{})
 	_, ok := s.Settle(0, false)
 	is.True(!ok)
 	s.Report(0, "c", Estimate{Estimated, then - 9*time.Second, then})
@@ -36,7 +37,7 @@
 
 func TestTheClusterTimeIsNotBelowAnyFloor(t *testing.T) {
 	is := is.New(t)
-	s := NewSettlement(2)
+	s := NewSettlement([]string{"a", "b"})
 	s.Report(0, "a", Estimate{Estimated, then, then + time.Second})
 	s.Report(0, "b", Estimate{Estimated, then - time.Minute, then - time.Minute})
 	at, ok := s.Settle(0, false)
@@ -46,7 +47,7 @@
 
 func TestWithoutAnEstimateNothingIsSettled(t *testing.T) {
 	is := is.New(t)
-	s := NewSettlement(1)
+	s := NewSettlement([]string{"a"})
 	s.Report(0, "a", Estimate{})
 	_, ok := s.Settle(0, true)
 	is.True(!ok)
@@ -60,7 +61,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 9).Draw(t, "processes")
 		right := rapid.IntRange(0, count-1).Draw(t, "right")
-		s := NewSettlement(count)
+		processes := make([]string, count)
+		for i := range processes {
+			processes[i] = fmt.Sprint(i)
+		}
+		s := NewSettlement(processes)
 		highest := time.Duration(0)
 		for i := range count {
 			floor := then - time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "age"))
@@ -69,7 +74,7 @@
 				estimate = min(estimate, then)
 			}
 			highest = max(highest, floor)
-			s.Report(0, fmt.Sprint(i), Estimate{Estimated, floor, estimate})
+			s.Report(0, processes[i], Estimate{Estimated, floor, estimate})
 		}
 		at, ok := s.Settle(0, false)
 		if !ok || at > then || at < highest {
--- a/internal/agent/clock.go
+++ b/internal/agent/clock.go
@@ -27,7 +27,7 @@
 	bestRoundTrip time.Duration // of the samples; 0 before the first one
 	sampled       bool
 	synchronized  bool
-	converged     bool // the target has been reached once
+	converged     bool // a sampled target has been reached once
 }
 
 // newClock returns a clock that starts at a time that the cluster time has reached.
@@ -41,7 +41,7 @@
 func startClock(steady time.Duration, e clustertime.Estimate) *clock {
 	c := newClock(steady, time.Unix(0, int64(e.Floor)))
 	if e.Certainty == clustertime.Certain {
-		c.synchronized, c.converged = true, true
+		c.synchronized = true
 	}
 	return c
 }
@@ -74,7 +74,7 @@
 		c.offset -= step
 	default:
 		c.offset = c.target
-		c.converged = c.converged || c.synchronized
+		c.converged = c.converged || c.sampled
 	}
 }
 
@@ -119,6 +119,14 @@
 	return c.synchronized
 }
 
+// agreed returns the cluster time as far as control knows it: while the clock is ahead of its target, the target counts.
+func (c *clock) agreed(steady time.Duration) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.advance(steady)
+	return max(steady, c.at) + min(c.offset, c.target)
+}
+
 // isAhead reports whether the clock is ahead of its target by more than a tolerance.
 func (c *clock) isAhead(steady, tolerance time.Duration) bool {
 	c.mutex.Lock()
--- a/internal/agent/timekeeper.go
+++ b/internal/agent/timekeeper.go
@@ -78,7 +78,7 @@
 	if k.writing || !a.clock.isSynchronized() {
 		return
 	}
-	next := clustertime.Checkpoint{Cluster: time.Duration(a.clock.now(a.Steady()).UnixNano()), Reading: k.clocks()}
+	next := clustertime.Checkpoint{Cluster: a.clock.agreed(a.Steady()), Reading: k.clocks()}
 	if !k.isWanted(now, next) {
 		return
 	}
@@ -101,11 +101,11 @@
 	a.updateWorkersReadAt(a.View().WorkersFresh)
 }
 
-// TimeEstimate returns what this process knows of the cluster time.
+// TimeEstimate returns what this process knows of the cluster time. Unlike ClusterTime it is not ahead of what control told.
 func (a *Agent) TimeEstimate() clustertime.Estimate {
 	now := a.Steady()
 	if a.clock.isSynchronized() {
-		at := time.Duration(a.clock.now(now).UnixNano())
+		at := a.clock.agreed(now)
 		return clustertime.Estimate{Certainty: clustertime.Certain, Floor: at, Time: at}
 	}
 	return a.timekeeper.resumed.After(now - a.timekeeper.resumedAt)
--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -120,13 +120,19 @@
 	}
 }
 
+// TestProcessThatIsAheadOfControlDoesNotUseItsTime guards against a process that was down while control settled on less, and that then ends messages
+// early itself, or as primary makes others do so.
 func TestProcessThatIsAheadOfControlDoesNotUseItsTime(t *testing.T) {
 	is := is.New(t)
 	c := startClock(0, clustertime.Estimate{Certainty: clustertime.Certain, Floor: time.Hour, Time: time.Hour})
 	is.True(!c.isAhead(0, aheadTolerance))
 	c.sample(0, 0, int64(time.Hour-3*time.Second)) // control has settled on less while this process was down
 	is.True(c.isAhead(time.Second, aheadTolerance))
-	is.True(!c.isAhead(2*time.Minute, aheadTolerance))
+	is.Equal(c.agreed(time.Second), time.Hour-2*time.Second)
+	c.set(time.Second, c.agreed(time.Second)-time.Second) // it becomes primary
+	is.True(c.isAhead(time.Second, aheadTolerance))
+	is.Equal(c.agreed(2*time.Second), time.Hour-time.Second)
+	is.True(!c.isAhead(7*time.Second, aheadTolerance))
 }
 
 func TestFirstSampleOfAResumedClockIsSlewed(t *testing.T) {
--- a/internal/roles/control/handle.go
+++ b/internal/roles/control/handle.go
@@ -63,7 +63,7 @@
 		r.Accepted = p.heartbeat(d.now(), h)
 		p.reportTime(d.now(), h)
 		if p.clusterTime.settled {
-			r.ClusterTime = d.agent.ClusterTime().UnixNano()
+			r.ClusterTime = int64(d.agent.TimeEstimate().Time)
 		}
 	}
 	r.Primary, _ = d.primaryAddress()
--- a/internal/roles/control/timesettlement.go
+++ b/internal/roles/control/timesettlement.go
@@ -25,17 +25,17 @@
 }
 
 func newTimeSettlement(now time.Duration, m *model) timeSettlement {
-	return timeSettlement{founded: m.founded, deadline: now + settlementTimeout, reports: clustertime.NewSettlement(m.countDisks())}
+	return timeSettlement{founded: m.founded, deadline: now + settlementTimeout, reports: clustertime.NewSettlement(m.nodesWithDisk())}
 }
 
-// countDisks returns the number of processes with a disk that have a session.
-func (m *model) countDisks() (count int) {
-	for _, node := range m.nodes {
+// nodesWithDisk returns the keys of the processes with a disk that have a session.
+func (m *model) nodesWithDisk() (keys []string) {
+	for key, node := range m.nodes {
 		if node.Member != "" {
-			count++
+			keys = append(keys, key)
 		}
 	}
-	return count
+	return keys
 }
 
 // reportTime records what the sender of a heartbeat knows of the cluster time.
--- a/lab/mutants/clustertime.go
+++ b/lab/mutants/clustertime.go
@@ -30,6 +30,16 @@
 		Old: "c := newClock(steady, time.Unix(0, int64(e.Floor)))", New: "c := newClock(steady, time.Unix(0, int64(e.Time)))",
 		Package: "./internal/agent",
 	},
+	{
+		Promise: "a process that is ahead of control's time tells control's", File: "internal/agent/clock.go",
+		Old: "return max(steady, c.at) + min(c.offset, c.target)", New: "return max(steady, c.at) + c.offset",
+		Package: "./internal/agent",
+	},
+	{
+		Promise: "a settlement waits for every process that is expected", File: "clustertime/settlement.go",
+		Old: "if _, reported := s.reports[process]; !reported {", New: "if _ = process; len(s.reports) < len(s.expected) {",
+		Package: "./clustertime",
+	},
 	{
 		Promise: "a jump of the time of day is in the next checkpoint", File: "internal/agent/timekeeper.go",
 		Old: "\t\t(next.Reading.Wall-k.last.Reading.Wall-steady).Abs() > wallStep", New: "\t\tfalse",
