--- a/sim/system/clocksteps_test.go
+++ b/sim/system/clocksteps_test.go
@@ -27,9 +27,10 @@
 // their delay is, because the cluster time went on from a wrong time of day after all of control and all stores had restarted.
 func TestMessagesKeepTheirRetentionWhenClocksJumpAndTheCoreRestarts(t *testing.T) {
 	for name, day := range map[string]clockStepDay{
-		"killed":             {seed: 90, stepBefore: 2 * time.Second, lose: (*Process).Kill},
-		"killed at the jump": {seed: 92, stepBefore: 20 * time.Millisecond, most: true, lose: (*Process).Kill},
-		"without power":      {seed: 90, stepBefore: 2 * time.Second, lose: (*Process).LosePower},
+		"killed":                            {seed: 90, stepBefore: 2 * time.Second, lose: (*Process).Kill},
+		"killed at the jump":                {seed: 92, stepBefore: 20 * time.Millisecond, most: true, lose: (*Process).Kill},
+		"without power, dispatchers run on": {seed: 90, stepBefore: 2 * time.Second, lose: (*Process).LosePower},
+		"all without power":                 {seed: 93, stepBefore: 2 * time.Second, everything: true, lose: (*Process).LosePower},
 	} {
 		t.Run(name, func(t *testing.T) { playClockSteps(t, day) })
 	}
@@ -38,7 +39,7 @@
 // TestOneRightClockIsEnoughAfterALossOfPower guards against a jump ahead where the times of day of all machines but one jump right before all of
 // them lose power, so that no checkpoint has noticed.
 func TestOneRightClockIsEnoughAfterALossOfPower(t *testing.T) {
-	playClockSteps(t, clockStepDay{seed: 91, stepBefore: 20 * time.Millisecond, most: true, lose: (*Process).LosePower})
+	playClockSteps(t, clockStepDay{seed: 91, stepBefore: 20 * time.Millisecond, most: true, everything: true, lose: (*Process).LosePower})
 }
 
 // clockStepDay is a day with two restarts of the core, after jumps of clocks back and then ahead.
@@ -46,6 +47,7 @@
 	seed       uint64
 	stepBefore time.Duration // from a jump to the restart
 	most       bool          // all clocks but one jump ahead, otherwise those of control's primary and of half of the stores
+	everything bool          // dispatchers, whose clocks would run on, are lost too
 	lose       func(*Process) error
 }
 
@@ -84,7 +86,8 @@
 	})
 }
 
-// restartCore makes clocks jump, and some time later ends all of control and all stores and starts them again. Then the clocks jump back.
+// restartCore makes clocks jump, and some time later ends all of control and all stores, or all processes, and starts them again. Then the clocks
+// jump back.
 func (d clockStepDay) restartCore(w *World, step time.Duration) (failed error) {
 	core := w.withDisk()
 	stepped := append([]*Process{w.controlPrimary()}, w.ByRole(protocol.RoleStore)[:2]...)
@@ -93,11 +96,15 @@
 	}
 	w.StepClocks(stepped, step)
 	time.Sleep(d.stepBefore)
-	for _, p := range core {
+	lost := core
+	if d.everything {
+		lost = w.Processes
+	}
+	for _, p := range lost {
 		failed = errors.Join(failed, d.lose(p))
 	}
 	time.Sleep(coreAway)
-	failed = errors.Join(failed, startEach(core))
+	failed = errors.Join(failed, startEach(lost))
 	time.Sleep(bounds.Contact())
 	w.StepClocks(stepped, -step)
 	return failed
