--- a/sim/system/clocksteps_test.go
+++ b/sim/system/clocksteps_test.go
@@ -46,7 +46,7 @@
 type clockStepDay struct {
 	seed       uint64
 	stepBefore time.Duration // from a jump to the restart
-	most       bool          // all clocks but one jump ahead, otherwise those of control's primary and of half of the stores
+	most       bool          // all clocks but one jump, otherwise those of control's primary and of half of the stores
 	everything bool          // dispatchers, whose clocks would run on, are lost too
 	lose       func(*Process) error
 }
@@ -92,7 +92,7 @@
 	core := w.withDisk()
 	stepped := append([]*Process{w.controlPrimary()}, w.ByRole(protocol.RoleStore)[:2]...)
 	if d.most {
-		stepped = core[1:]
+		stepped = core[:len(core)-1] // the right clock is that of a store
 	}
 	w.StepClocks(stepped, step)
 	time.Sleep(d.stepBefore)
