--- a/internal/roles/store/clustertime_test.go
+++ b/internal/roles/store/clustertime_test.go
@@ -22,7 +22,8 @@
 		c.dispatcher.hello(s, table)
 	}
 	primary := c.stores[0]
-	primary.await(func(s *store) bool { return s.partitions[0] != nil && s.partitions[0].awaitsTime })
+	primary.await(func(s *store) bool { return s.partitions[0] != nil && s.partitions[0].replica.IsActive() })
+	primary.on(func(s *store) { is.True(!s.partitions[0].leading) })
 	is.Equal(c.dispatcher.accept(primary, message("m1", "plain", "")), protocol.AcceptNotPrimary)
 
 	control.tellTime(true)
