--- a/internal/roles/store/clustertime_test.go
+++ b/internal/roles/store/clustertime_test.go
@@ -23,7 +23,9 @@
 	}
 	primary := c.stores[0]
 	primary.await(func(s *store) bool { return s.partitions[0] != nil && s.partitions[0].replica.IsActive() })
-	primary.on(func(s *store) { is.True(!s.partitions[0].leading) })
+	var leading bool
+	primary.on(func(s *store) { leading = s.partitions[0].leading })
+	is.True(!leading)
 	is.Equal(c.dispatcher.accept(primary, message("m1", "plain", "")), protocol.AcceptNotPrimary)
 
 	control.tellTime(true)
