--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -130,6 +130,9 @@
 		if r.ClusterTime != 0 && address != a.Node().Address {
 			a.sampleTime(called, received, r.ClusterTime)
 		}
+		if a.options.Member != "" && !a.clock.isSynchronized() {
+			a.session.awaitTime(sent) // what is on its disk may wait for the time
+		}
 	default:
 		a.session.refuse(address, r.Primary, received)
 	}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -9,6 +9,8 @@
 	initialPause = 50 * time.Millisecond
 	// maxRedirects is how many times in a row a redirect to another process is followed without a pause.
 	maxRedirects = 3
+	// timeRetry is the time until the next heartbeat while a process waits for the primary to settle the cluster time.
+	timeRetry = 50 * time.Millisecond
 	// unresponsiveFor is how long redirects to a process that did not answer are ignored.
 	unresponsiveFor = time.Second
 )
@@ -75,6 +77,9 @@
 	s.due = max(sent+s.interval, now)
 }
 
+// awaitTime makes the next heartbeat follow soon on one that was sent at the given time, as its reply told no cluster time.
+func (s *session) awaitTime(sent time.Duration) { s.due = min(s.due, sent+min(timeRetry, s.interval)) }
+
 // refuse processes the reply of a process that is not the primary, or is not yet ready to accept. primary is the address that it names
 // as the primary, empty if it names none.
 func (s *session) refuse(address, primary string, now time.Duration) {
--- a/internal/agent/session_test.go
+++ b/internal/agent/session_test.go
@@ -143,3 +143,17 @@
 	due, _ := s.next()
 	is.Equal(due, initialPause)
 }
+
+func TestHeartbeatsFollowQuicklyUntilTheClusterTimeIsTold(t *testing.T) {
+	is := is.New(t)
+	s := newSession(200*time.Millisecond, 0)
+	s.findCandidates = func() []string { return []string{"a"} }
+	_, ok := s.begin(0)
+	is.True(ok)
+	s.accept("a", 0, time.Millisecond)
+	due, _ := s.next()
+	is.Equal(due, 200*time.Millisecond)
+	s.awaitTime(0)
+	due, _ = s.next()
+	is.Equal(due, timeRetry)
+}
