A running clock is not moved ahead by a higher checkpoint

Where a machine comes back that was down while the others settled on less than its checkpoint (at most 10 s less, after a loss of all power with clocks that went back), a primary that knows no time would have moved everybody ahead, and messages accepted since would have ended that much too early. The running clock counts alone now.

TestARunningClockIsNotMovedByAHigherCheckpoint failed before, by 5 s.

--- a/clustertime/settlement.go
+++ b/clustertime/settlement.go
@@ -43,7 +43,7 @@
 		}
 	}
 	if certain != 0 {
-		return max(certain, floor), true
+		return certain, true // also below a checkpoint: that is of a time before the others settled on less
 	}
 	if lowest == 0 || !final && !s.isComplete() {
 		return 0, false
--- a/clustertime/settlement_test.go
+++ b/clustertime/settlement_test.go
@@ -82,3 +82,15 @@
 		}
 	})
 }
+
+// TestARunningClockIsNotMovedByAHigherCheckpoint guards against a jump ahead where a machine comes back that was down while the others settled on
+// less than its checkpoint: messages accepted since would end early.
+func TestARunningClockIsNotMovedByAHigherCheckpoint(t *testing.T) {
+	is := is.New(t)
+	s := NewSettlement([]string{"back", "running"})
+	s.Report(0, "back", Estimate{Estimated, then + 5*time.Second, then + 9*time.Second})
+	s.Report(0, "running", certain(then))
+	at, ok := s.Settle(0, false)
+	is.True(ok)
+	is.Equal(at, then)
+}
