Tests for three untested paths of the cluster time; two names and a constant

The repeat of heartbeats while no time is told (in the agent, not only in its session), the list reader that waits for the time, and a damaged checkpoint had no test. The first two have a mutant each. timeSettlement stands in a field settlement, lead takes no argument that it has, and the store's timeRetry stands with its other constants.

--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -222,3 +222,35 @@
 	awaitSynchronized(a)
 	is.True(a.ClusterTime().Equal(told))
 }
+
+// TestProcessWithADiskAsksAgainSoonWhileNoTimeIsTold guards against stores that lead nothing for a whole heartbeat interval after control has
+// settled the cluster time.
+func TestProcessWithADiskAsksAgainSoonWhileNoTimeIsTold(t *testing.T) {
+	is := is.New(t)
+	control := startControl(t, uniqueLoopback())
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Member: "n/1", HeartbeatInterval: time.Hour})
+	awaitAccepted(a, control)
+	<-control.heartbeats // the next one is not due for an hour, but for the time
+	control.tellTime(aheadOfWall)
+	awaitSynchronized(a)
+	is.True(a.TimeUsable())
+}
+
+// TestDamagedCheckpointIsReplaced guards against a process that goes on with a checkpoint that it cannot read.
+func TestDamagedCheckpointIsReplaced(t *testing.T) {
+	is := is.New(t)
+	storage := newMemoryStorage()
+	damaged := replication.Record{Key: checkpointKey, Version: 7, Value: []byte{checkpointFormatOfLaterVersion, 1, 2}}
+	storage.records[checkpointKey] = damaged
+	control := startControl(t, uniqueLoopback())
+	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Member: "n/1", Storage: storage})
+	is.True(!a.Synchronized())
+	is.Equal(a.TimeEstimate().Certainty, clustertime.Unknown)
+	control.tellTime(aheadOfWall)
+	<-storage.written
+	record, _, _ := storage.Get(replication.LocalGroup, checkpointKey)
+	is.Equal(record.Version, uint64(8))
+	is.NoErr(new(clustertime.Checkpoint).Decode(record.Value))
+}
+
+const checkpointFormatOfLaterVersion = 200
--- a/internal/roles/control/handle.go
+++ b/internal/roles/control/handle.go
@@ -62,7 +62,7 @@
 	if p := d.primary; p != nil {
 		r.Accepted = p.heartbeat(d.now(), h)
 		p.reportTime(d.now(), h)
-		if p.clusterTime.settled {
+		if p.settlement.settled {
 			r.ClusterTime = int64(d.agent.TimeEstimate().Time)
 		}
 	}
--- a/internal/roles/control/primary.go
+++ b/internal/roles/control/primary.go
@@ -31,7 +31,7 @@
 	duty                 dutyState
 	tolerance            toleranceWatch
 	epochs               epochWatch
-	clusterTime          timeSettlement
+	settlement           timeSettlement
 }
 
 func newPrimary(d *daemon, epoch, activation uint64, m *model) (*primary, error) {
@@ -45,7 +45,7 @@
 	p.sessions = newSessions(now, m)
 	p.placement = newPlacementState(now)
 	p.duty = newDutyState(p)
-	p.clusterTime = newTimeSettlement(now, m)
+	p.settlement = newTimeSettlement(now, m)
 	return p, nil
 }
 
--- a/internal/roles/control/timesettlement.go
+++ b/internal/roles/control/timesettlement.go
@@ -40,11 +40,11 @@
 
 // reportTime records what the sender of a heartbeat knows of the cluster time.
 func (p *primary) reportTime(now time.Duration, h *protocol.Heartbeat) {
-	if p.clusterTime.settled || h.Node.Key == p.daemon.agent.Node().Key {
+	if p.settlement.settled || h.Node.Key == p.daemon.agent.Node().Key {
 		return
 	}
 	if e := h.Time.Estimate(); e.Certainty == clustertime.Certain || h.Node.Member != "" {
-		p.clusterTime.reports.Report(now, h.Node.Key, e)
+		p.settlement.reports.Report(now, h.Node.Key, e)
 		p.settleTime(now)
 	}
 }
@@ -52,7 +52,7 @@
 // settleTime sets the cluster time of this process once it is known. A process that was synchronized before it became primary goes on with its
 // own time.
 func (p *primary) settleTime(now time.Duration) {
-	t, a := &p.clusterTime, p.daemon.agent
+	t, a := &p.settlement, p.daemon.agent
 	if t.settled {
 		return
 	}
--- a/internal/roles/control/timesettlement_test.go
+++ b/internal/roles/control/timesettlement_test.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"liftgauge/internal/agent"
 	"liftgauge/internal/machineclock/clocktest"
+	"liftgauge/internal/protocol"
 	"liftgauge/replication"
+	"liftgauge/workerlist"
 )
 
 // awaitCheckpoints waits until each process of control has kept the cluster time on its disk.
@@ -63,7 +66,7 @@
 			c.startAll()
 			primary := c.primary()
 			c.eventually("a settled cluster time", func() (settled bool) {
-				primary.onLoop(c, func(d *daemon) { settled = d.primary != nil && d.primary.clusterTime.settled })
+				primary.onLoop(c, func(d *daemon) { settled = d.primary != nil && d.primary.settlement.settled })
 				return settled
 			})
 			gained := primary.process.agent.ClusterTime().Sub(before) - time.Since(begin)
@@ -72,3 +75,26 @@
 		})
 	}
 }
+
+// TestReadingOfTheWorkerListWaitsForTheClusterTime guards against a list whose age other processes compute from a time that is not settled.
+func TestReadingOfTheWorkerListWaitsForTheClusterTime(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1) // not started, so that no one tells the time
+	a, err := agent.Start(agent.Options{Settings: c.settings(20, "control-20"), Role: protocol.RoleControl, Handle: refuseFrames})
+	is.NoErr(err)
+	t.Cleanup(a.Close)
+	d := &daemon{agent: a, loop: newEventLoop(), settings: c.settings(20, "control-20"), logger: zap.NewNop()}
+	go d.loop.run(c.ctx, tickInterval, func() {}, func() {})
+	r := newListReader(d)
+	r.term, r.reader = 1, workerlist.NewReader(workerlist.Options{RatePerS: 100})
+	m := &machine{process: &process{daemon: d}}
+	m.onLoop(c, func(*daemon) { r.publish(true) })
+	var published protocol.ItemVersion
+	m.onLoop(c, func(*daemon) { published = r.published })
+	is.Equal(published, protocol.ItemVersion{})
+
+	settled := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	a.SetClusterTime(time.Duration(settled.UnixNano()))
+	c.await(a, "the list", func(v *agent.View) bool { return v.WorkersVersion.Term == 1 })
+	is.True(a.View().Workers.ReadAt >= settled.Add(-testTimeout).UnixNano())
+}
--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -28,6 +28,8 @@
 	blockedLogDelay = 300 * time.Millisecond
 	// slowWriteAge is the age of the oldest pending write above which no more messages are accepted: other partitions are faster.
 	slowWriteAge = 250 * time.Millisecond
+	// timeRetry is the interval at which partitions that wait for the cluster time check it.
+	timeRetry = 10 * time.Millisecond
 )
 
 // partition is this store's replica of one partition and, while it is primary, the state of its messages.
@@ -112,9 +114,6 @@
 	p.leadOnceTimeIsKnown()
 }
 
-// timeRetry is the interval at which partitions that wait for the cluster time check it.
-const timeRetry = 10 * time.Millisecond
-
 // leadOnceTimeIsKnown begins to lead, unless the cluster time cannot be used yet: by a time that is behind, new messages would end before their
 // retention is over, and by one that is ahead, waiting ones would.
 func (p *partition) leadOnceTimeIsKnown() {
@@ -125,15 +124,15 @@
 		return
 	}
 	p.awaitsTime = false
-	p.lead(p.epoch)
+	p.lead()
 }
 
 // lead makes this store the primary, with a queue from the records.
-func (p *partition) lead(epoch uint64) {
+func (p *partition) lead() {
 	s := p.store
 	now := s.now()
 	p.leading = true
-	s.queue.SetEpoch(p.number, epoch)
+	s.queue.SetEpoch(p.number, p.epoch)
 	p.helloDeadline, p.hellosComplete = now+p.helloTimeout(), false
 	if err := p.rebuild(now); err != nil {
 		s.logger.Error("records of a partition cannot be read; this store does not serve it",
@@ -143,7 +142,7 @@
 		return
 	}
 	s.markHeld(now, p.number)
-	s.logger.Info("became primary of a partition", zap.Uint32("partition", p.number), zap.Uint64("epoch", epoch),
+	s.logger.Info("became primary of a partition", zap.Uint32("partition", p.number), zap.Uint64("epoch", p.epoch),
 		zap.Int("messages", s.queue.Len(p.number)), zap.Time("cluster_time", s.agent.ClusterTime()),
 		zap.Bool("synchronized", s.agent.Synchronized()))
 }
--- a/lab/mutants/clustertime.go
+++ b/lab/mutants/clustertime.go
@@ -20,6 +20,21 @@
 		Old: "if certain != 0 {", New: "if false {",
 		Package: "./internal/roles/control",
 	},
+	{
+		Promise: "a running clock is not moved by a higher checkpoint", File: "clustertime/settlement.go",
+		Old: "return certain, true", New: "return max(certain, floor), true",
+		Package: "./clustertime",
+	},
+	{
+		Promise: "a process with a disk asks again soon while no time is told", File: "internal/agent/heartbeat.go",
+		Old: "a.session.awaitTime(sent) //", New: "_ = sent //",
+		Package: "./internal/agent",
+	},
+	{
+		Promise: "the worker list is published by a time that is known", File: "internal/roles/control/reader.go",
+		Old: "if !a.Synchronized() {", New: "if false {",
+		Package: "./internal/roles/control",
+	},
 	{
 		Promise: "the cluster time is not below a checkpoint", File: "clustertime/settlement.go",
 		Old: "return max(lowest, floor), true", New: "return lowest, true",
