--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -230,7 +230,9 @@
 	control := startControl(t, uniqueLoopback())
 	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Member: "n/1", HeartbeatInterval: time.Hour})
 	awaitAccepted(a, control)
-	<-control.heartbeats // the next one is not due for an hour, but for the time
+	var due time.Duration
+	is.True(a.loop.postAndWait(func() { due = a.session.due }))
+	is.True(due <= a.Steady()+timeRetry) // not an hour later
 	control.tellTime(aheadOfWall)
 	awaitSynchronized(a)
 	is.True(a.TimeUsable())
