--- a/internal/agent/timekeeper_test.go
+++ b/internal/agent/timekeeper_test.go
@@ -229,9 +229,10 @@
 	is := is.New(t)
 	control := startControl(t, uniqueLoopback())
 	a := start(t, Options{Settings: settingsFor(t, "n", control.server.Addr()), Member: "n/1", HeartbeatInterval: time.Hour})
-	awaitAccepted(a, control)
 	var due time.Duration
-	is.True(a.loop.postAndWait(func() { due = a.session.due }))
+	for open := false; !open; {
+		is.True(a.loop.postAndWait(func() { open, due = a.session.open, a.session.due }))
+	}
 	is.True(due <= a.Steady()+timeRetry) // not an hour later
 	control.tellTime(aheadOfWall)
 	awaitSynchronized(a)
