--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -39,7 +39,8 @@
 }
 
 var cases = map[string]scripted{
-	"starved": {smallLayout, starved},
+	"starved":  {smallLayout, starved},
+	"draining": {smallLayout, draining}, // a second rule that the fault of "starved" breaks; no case of its own
 }
 
 func main() {
