Control publishes a change of the worker list on whichever page it was read

A worker shown as draining on an early page goes on getting messages (DRAIN).

Cause: the reader merges each page into its list at once. listReader took the flag of the last page for that of the whole scan, and dropped the flags of the pages before. The scan was then compared with a list that held the change already, so nothing was published but a new time of reading. The list counted as fresh, so no dispatcher read it itself. The same flag was lost where the duty was awarded again for the same term: a new reader with an empty first scan told that the list of before was read again unchanged.

Change: what was published is remembered by the number of the list, and compared after each page. Answer no longer returns a flag that a caller can drop; List().Number tells. A change is published with the page that brings it, with the age of the last complete scan.

The tests of workerlist compute the flag from the number, and ask for the same as before.

--- a/internal/roles/control/fakes_test.go
+++ b/internal/roles/control/fakes_test.go
@@ -85,10 +85,11 @@
 	}
 }
 
-// platform serves a list of workers in pages of one entry.
+// platform serves a list of workers in pages of one entry. Each page has an address, which the worker on it uses.
 type platform struct {
-	mutex   sync.Mutex
-	workers []string
+	mutex    sync.Mutex
+	workers  []string
+	draining string // a worker that the list shows as draining; empty for none
 }
 
 func startPlatform(t *testing.T, workers ...string) (*platform, string) {
@@ -104,6 +105,12 @@
 	p.workers = workers
 }
 
+func (p *platform) drain(worker string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.draining = worker
+}
+
 // ServeHTTP answers GET /instances.
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mutex.Lock()
@@ -118,8 +125,12 @@
 	if page+1 < len(p.workers) {
 		next = fmt.Sprintf(`"p-%d"`, page+1)
 	}
-	fmt.Fprintf(w, `{"Instances":[{"Backend":"svc","Address":"127.0.0.1:9","Zone":"zone-1","Revision":"v1","Capacity":6,"State":"ready",`+
-		`"ColdRemainingMs":0,"Id":%q}],"NextPageToken":%s}`, p.workers[page], next)
+	state := "ready"
+	if p.workers[page] == p.draining {
+		state = "draining"
+	}
+	fmt.Fprintf(w, `{"Instances":[{"Backend":"svc","Address":"127.0.0.1:%d","Zone":"zone-1","Revision":"v1","Capacity":6,"State":%q,`+
+		`"ColdRemainingMs":0,"Id":%q}],"NextPageToken":%s}`, page+1, state, p.workers[page], next)
 }
 
 // testWriter drops log entries after the end of the test.
--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -21,7 +21,7 @@
 	client    *http.Client
 	term      uint64 // 0 before the first duty
 	reader    *workerlist.Reader
-	published protocol.ItemVersion // version of the list that was last published in this term
+	published publication
 	stopped   bool
 	readAt    time.Duration // when the list was last read completely in this term, or when the term began
 	// stale is set when readAt is too long ago. The process then makes no calls, and reports it in its heartbeats until it is awarded the duty
@@ -29,6 +29,17 @@
 	stale atomic.Bool
 }
 
+// publication describes the list that was last published in this term.
+type publication struct {
+	version protocol.ItemVersion
+	// current is set if the list was published from the current reader; number and readAt are then the list's.
+	current bool
+	number  uint64
+	readAt  time.Duration
+	// retryScheduled is set while the list waits for the cluster time to be published.
+	retryScheduled bool
+}
+
 // staleAfter returns how long the holder of the duty may fail to read the list before it gives the duty up: half of the maximum age of the
 // list, and at least the time of a few calls.
 func (r *listReader) staleAfter() time.Duration {
@@ -49,8 +60,9 @@
 	}
 	r.daemon.logger.Info("control: reading the platform's worker list", zap.Uint64("term", term))
 	if !again {
-		r.published = protocol.ItemVersion{}
+		r.published.version = protocol.ItemVersion{}
 	}
+	r.published.current = false
 	r.term, r.stopped, r.readAt = term, false, r.daemon.now()
 	r.stale.Store(false)
 	r.reader = workerlist.NewReader(workerlist.Options{RatePerS: r.daemon.settings.CloudApi.RatePerS})
@@ -96,38 +108,53 @@
 	if err != nil {
 		r.reader.Fail(now, request)
 	} else {
-		complete, changed, err := r.reader.Answer(now, request, status, body)
+		complete, err := r.reader.Answer(now, request, status, body)
 		if err != nil {
 			r.daemon.logger.Warn("control: the platform's worker list cannot be read", zap.Int("status", status), reason(err))
 		}
 		if complete {
 			r.readAt = now
-			r.publish(changed)
+		}
+		if r.reader.Complete() {
+			r.publish()
 		}
 	}
 	r.stale.Store(now-r.readAt >= r.staleAfter())
 	r.step(term)
 }
 
-// publish publishes a complete reading of the list, or only its time if the list is unchanged.
-func (r *listReader) publish(changed bool) {
-	list := r.reader.List()
+// publish publishes the list if it differs from the one that was last published, on whichever page of the scan the difference was, or else the
+// time at which the list was read again.
+func (r *listReader) publish() {
 	a := r.daemon.agent
 	if !a.Synchronized() {
-		term := r.term
-		r.daemon.loop.after(timeRetry, func() {
-			if r.mayRead(term) {
-				r.publish(changed)
-			}
-		})
+		r.schedulePublish()
 		return
 	}
+	list := r.reader.List()
 	readAt := a.ClusterTime().Add(list.ReadAt - a.Steady()).UnixNano()
-	if !changed && r.published != (protocol.ItemVersion{}) {
-		a.PublishWorkersFresh(protocol.WorkersFreshness{Version: r.published, ReadAt: readAt})
+	switch {
+	case !r.published.current || list.Number != r.published.number:
+		workers := protocol.Workers{ReadAt: readAt, Workers: instances.Entries(&list)}
+		r.published.version = protocol.ItemVersion{Term: r.term, Number: r.published.version.Number + 1}
+		a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: r.published.version, Body: workers.Append(nil)})
+	case list.ReadAt != r.published.readAt:
+		a.PublishWorkersFresh(protocol.WorkersFreshness{Version: r.published.version, ReadAt: readAt})
+	}
+	r.published.current, r.published.number, r.published.readAt = true, list.Number, list.ReadAt
+}
+
+// schedulePublish publishes the list later, if this process still holds the duty then.
+func (r *listReader) schedulePublish() {
+	if r.published.retryScheduled {
 		return
 	}
-	workers := protocol.Workers{ReadAt: readAt, Workers: instances.Entries(&list)}
-	r.published = protocol.ItemVersion{Term: r.term, Number: r.published.Number + 1}
-	a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: r.published, Body: workers.Append(nil)})
+	r.published.retryScheduled = true
+	term := r.term
+	r.daemon.loop.after(timeRetry, func() {
+		r.published.retryScheduled = false
+		if r.mayRead(term) {
+			r.publish()
+		}
+	})
 }
--- a/internal/roles/control/timesettlement_test.go
+++ b/internal/roles/control/timesettlement_test.go
@@ -88,9 +88,9 @@
 	r := newListReader(d)
 	r.term, r.reader = 1, workerlist.NewReader(workerlist.Options{RatePerS: 100})
 	m := &machine{process: &process{daemon: d}}
-	m.onLoop(c, func(*daemon) { r.publish(true) })
+	m.onLoop(c, func(*daemon) { r.publish() })
 	var published protocol.ItemVersion
-	m.onLoop(c, func(*daemon) { published = r.published })
+	m.onLoop(c, func(*daemon) { published = r.published.version })
 	is.Equal(published, protocol.ItemVersion{})
 
 	settled := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
--- a/internal/roles/dispatcher/list.go
+++ b/internal/roles/dispatcher/list.go
@@ -87,7 +87,7 @@
 		r.reader.Fail(now, request)
 		return true
 	}
-	complete, _, err := r.reader.Answer(now, request, status, body)
+	complete, err := r.reader.Answer(now, request, status, body)
 	if err != nil {
 		d.logger.Warn("the list of workers cannot be read", zap.Int("status", status), zap.Error(err))
 		return true
--- a/workerlist/reader.go
+++ b/workerlist/reader.go
@@ -104,11 +104,11 @@
 	return r.request, 0, true
 }
 
-// Answer processes the response to a request. complete reports that it completed a scan, changed that List has changed.
+// Answer processes the response to a request, and reports whether it completed a scan. Any page can change the list: compare List().Number.
 // Responses to requests other than the one in flight are ignored.
-func (r *Reader) Answer(now time.Duration, req Request, status int, body []byte) (complete, changed bool, err error) {
+func (r *Reader) Answer(now time.Duration, req Request, status int, body []byte) (complete bool, err error) {
 	if !r.inFlight || req.Number != r.request.Number {
-		return false, false, nil
+		return false, nil
 	}
 	r.inFlight = false
 	workers, next, err := readAnswer(status, body)
@@ -117,14 +117,13 @@
 	}
 	if err != nil {
 		r.scheduleRetry(now, err)
-		return false, false, err
+		return false, err
 	}
 	r.failures, r.scan.attempts = 0, 0
 	for n := range workers {
 		workers[n].setColdUntil(req.RequestedAt)
 	}
-	complete, changed = r.addPage(workers, next)
-	return complete, changed, nil
+	return r.addPage(workers, next), nil
 }
 
 // Fail reports that a request got no response.
@@ -165,8 +164,8 @@
 	}
 }
 
-// addPage adds a page to the scan; the last page completes the scan.
-func (r *Reader) addPage(workers []Worker, next string) (complete, changed bool) {
+// addPage adds a page to the scan, and reports whether it was the last one, which completes the scan.
+func (r *Reader) addPage(workers []Worker, next string) (complete bool) {
 	current := &r.scan
 	current.workers = append(current.workers, workers...)
 	current.pages++
@@ -175,25 +174,24 @@
 			current.seen = map[string]bool{}
 		}
 		current.seen[next], current.token = true, next
-		return false, r.mergePage(workers)
+		r.mergePage(workers)
+		return false
 	}
 	done := r.scan
 	r.scan = scan{}
 	r.notBefore = max(r.notBefore, done.startedAt+r.options.Interval)
 	kept := r.newlyMissed(done)
-	r.list, changed = Merge(r.list, done.startedAt, append(kept, done.workers...))
+	r.list, _ = Merge(r.list, done.startedAt, append(kept, done.workers...))
 	r.complete = true
-	return true, changed
+	return true
 }
 
 // mergePage merges a single page into the list before the scan is complete.
-func (r *Reader) mergePage(workers []Worker) (changed bool) {
+func (r *Reader) mergePage(workers []Worker) {
 	if !r.complete {
-		return false
+		return
 	}
-	readAt := r.list.ReadAt
-	r.list, changed = Merge(r.list, readAt, append(withoutAddresses(r.list.Workers, workers), workers...))
-	return changed
+	r.list, _ = Merge(r.list, r.list.ReadAt, append(withoutAddresses(r.list.Workers, workers), workers...))
 }
 
 // newlyMissed returns the workers that are missing for the first time, from a scan of several pages.
--- a/workerlist/reader_test.go
+++ b/workerlist/reader_test.go
@@ -42,13 +42,21 @@
 
 // call advances the clock to the next request and answers it.
 func (p *platform) call(t interface{ Fatal(...any) }, r *Reader, now *time.Duration) (complete, changed bool) {
-	complete, changed, err := r.Answer(*now, request(t, r, now), 200, p.page(r.request.PageToken))
+	req := request(t, r, now)
+	complete, changed, err := answer(r, *now, req, 200, p.page(req.PageToken))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return complete, changed
 }
 
+// answer answers a request and also reports whether the list has changed.
+func answer(r *Reader, now time.Duration, req Request, status int, body []byte) (complete, changed bool, err error) {
+	before := r.List().Number
+	complete, err = r.Answer(now, req, status, body)
+	return complete, r.List().Number != before, err
+}
+
 // request advances the clock to the next request.
 func request(t interface{ Fatal(...any) }, r *Reader, now *time.Duration) Request {
 	req, wait, ok := r.Next(*now)
@@ -107,10 +115,10 @@
 	is.Equal(wait, initialErrorPause)
 	second, _, ok := r.Next(1200 * ms)
 	is.True(ok)
-	complete, _, err := r.Answer(1300*ms, first, 200, []byte(`{"Instances":[]}`)) // superseded by the second request
+	complete, err := r.Answer(1300*ms, first, 200, []byte(`{"Instances":[]}`)) // superseded by the second request
 	is.NoErr(err)
 	is.True(!complete)
-	complete, _, err = r.Answer(1300*ms, second, 200, []byte(`{"Instances":[]}`))
+	complete, err = r.Answer(1300*ms, second, 200, []byte(`{"Instances":[]}`))
 	is.NoErr(err)
 	is.True(complete)
 }
@@ -125,17 +133,17 @@
 		r := NewReader(Options{})
 		now, pause := time.Duration(0), c.first
 		for range 80 {
-			_, _, err := r.Answer(now, request(t, r, &now), c.status, nil)
+			_, err := r.Answer(now, request(t, r, &now), c.status, nil)
 			is.True(errors.Is(err, c.kind))
 			_, wait, ok := r.Next(now)
 			is.True(!ok)
 			is.Equal(wait, pause)
 			pause = min(2*pause, c.last)
 		}
-		_, _, err := r.Answer(now, request(t, r, &now), 200, []byte(`{"Instances":[]}`))
+		_, err := r.Answer(now, request(t, r, &now), 200, []byte(`{"Instances":[]}`))
 		is.NoErr(err)
 		req := request(t, r, &now)
-		_, _, err = r.Answer(now, req, c.status, nil)
+		_, err = r.Answer(now, req, c.status, nil)
 		is.True(err != nil)
 		_, wait, _ := r.Next(now)
 		is.Equal(wait, c.first) // a success resets the pause
@@ -149,7 +157,7 @@
 	now := time.Duration(0)
 	p.call(t, r, &now)
 	for _, body := range []string{`{"Instances":null,"NextPageToken":null}`, `{}`, ``, `{"Instances":[{"Id":"a"}]}`} {
-		_, changed, err := r.Answer(now, request(t, r, &now), 200, []byte(body))
+		_, changed, err := answer(r, now, request(t, r, &now), 200, []byte(body))
 		is.True(err != nil)
 		is.True(!changed)
 	}
@@ -179,9 +187,9 @@
 	r := NewReader(Options{})
 	now := time.Duration(0)
 	body := []byte(`{"Instances":[],"NextPageToken":"p-1"}`)
-	_, _, err := r.Answer(now, request(t, r, &now), 200, body)
+	_, err := r.Answer(now, request(t, r, &now), 200, body)
 	is.NoErr(err)
-	_, _, err = r.Answer(now, request(t, r, &now), 200, body)
+	_, err = r.Answer(now, request(t, r, &now), 200, body)
 	is.True(errors.Is(err, ErrMalformed))
 }
 
@@ -212,15 +220,15 @@
 	is := is.New(t)
 	r := NewReader(Options{})
 	now := time.Duration(0)
-	answer := func(body string) {
-		_, _, err := r.Answer(now, request(t, r, &now), 200, []byte(body))
+	respond := func(body string) {
+		_, err := r.Answer(now, request(t, r, &now), 200, []byte(body))
 		is.NoErr(err)
 	}
-	answer(`{"Instances":[{"Id":"a","Backend":"s","Address":"x:1","State":"ready"},{"Id":"b","Backend":"s","Address":"y:1","State":"ready"}]}`)
+	respond(`{"Instances":[{"Id":"a","Backend":"s","Address":"x:1","State":"ready"},{"Id":"b","Backend":"s","Address":"y:1","State":"ready"}]}`)
 	is.Equal(ids(r), []string{"a", "b"})
-	answer(`{"Instances":[{"Id":"c","Backend":"t","Address":"x:1","State":"ready"}],"NextPageToken":"p-1"}`)
+	respond(`{"Instances":[{"Id":"c","Backend":"t","Address":"x:1","State":"ready"}],"NextPageToken":"p-1"}`)
 	is.Equal(ids(r), []string{"b", "c"}) // takes effect with the first page
-	answer(`{"Instances":[]}`)
+	respond(`{"Instances":[]}`)
 	is.Equal(ids(r), []string{"b", "c"})
 }
 
@@ -233,7 +241,7 @@
 	p.call(t, r, &now)
 	readAt := r.List().ReadAt
 	body := `{"Instances":[{"Id":"a","Backend":"s","Address":"address-of-a","State":"draining"}],"NextPageToken":"p-1"}`
-	complete, changed, err := r.Answer(now, request(t, r, &now), 200, []byte(body))
+	complete, changed, err := answer(r, now, request(t, r, &now), 200, []byte(body))
 	is.NoErr(err)
 	is.True(!complete && changed)
 	is.True(r.List().Workers[0].Draining)
@@ -245,7 +253,7 @@
 	r := NewReader(Options{})
 	now := 10 * time.Second
 	body := `{"Instances":[{"Id":"a","Backend":"s","Address":"x","State":"ready","ColdRemainingMs":1500}]}`
-	_, _, err := r.Answer(now+50*ms, request(t, r, &now), 200, []byte(body))
+	_, err := r.Answer(now+50*ms, request(t, r, &now), 200, []byte(body))
 	is.NoErr(err)
 	is.Equal(r.List().Workers[0].ColdUntil, 11500*ms)
 }
@@ -267,7 +275,7 @@
 			calls = append(calls, now)
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "answer")) * ms
 			status := rapid.SampledFrom([]int{200, 200, 200, 429, 503}).Draw(t, "status")
-			_, _, _ = r.Answer(now, req, status, p.page(req.PageToken))
+			_, _ = r.Answer(now, req, status, p.page(req.PageToken))
 		}
 		for i := range calls {
 			for j := i; j < len(calls); j++ {
