--- a/sim/system/clients.go
+++ b/sim/system/clients.go
@@ -178,6 +178,9 @@
 func (w *World) checkState(m *message) {
 	status, state, signature := w.stateOf(m)
 	w.Checker.checkState(m, status, state, signature)
+	if state == "queued" && w.Platform.hasReadyWorker(m.service) {
+		w.Checker.checkForgotten(m)
+	}
 }
 
 // stateOf queries the state of a message; status is 0 without a response.
--- a/sim/system/faults.go
+++ b/sim/system/faults.go
@@ -24,7 +24,9 @@
 )
 
 // faults are those that Day chooses from.
-var faults = []fault{
+var faults = append(systemFaults, workerFaults()...)
+
+var systemFaults = []fault{
 	{"kill", func(w *World, random *rand.Rand) error {
 		return w.loseTemporarily(w.Processes, random, (*Process).Kill)
 	}},
@@ -72,7 +74,9 @@
 		return err
 	}},
 	{"worker leaves", func(w *World, random *rand.Rand) error {
-		w.Platform.Drain(w.Platform.Workers("svc-b")[random.IntN(2)]) // the other half of the workers stays
+		if worker := w.Platform.claimWorker(random, "svc-b", minReadyWorkers); worker != nil {
+			w.Platform.Drain(worker)
+		}
 		return nil
 	}},
 	{"list away", func(w *World, random *rand.Rand) error {
--- a/sim/system/world.go
+++ b/sim/system/world.go
@@ -49,6 +49,7 @@
 	Folder        string // holds the folders of the disks
 	Edges, Stores int    // numbers of machines; by default as many as there are control processes. The first edges also run the control processes
 	Machines      int    // FaultTolerance.Machines; 1 by default, negative for none
+	Pages         int    // of the platform's list; 1 by default
 	Control       int    // control processes; by default 2*Machines+1, at least 3, so that a majority survives the loss of Machines of them
 	Net           virtualnet.Options
 	Disk          virtualdisk.Options
@@ -120,6 +121,7 @@
 	setDefault(&o.Machines, 1)
 	o.Machines = max(o.Machines, 0)
 	setDefault(&o.Edges, o.ControlCount())
+	setDefault(&o.Pages, 1)
 	setDefault(&o.Stores, o.ControlCount())
 	setDefault(&o.Disk.Sync, time.Millisecond)
 	o.Net.Seed = o.Seed
@@ -129,6 +131,15 @@
 	return o
 }
 
+// minListed is the least number of workers on the platform's list at the start.
+const minListed = 8
+
+// pageSize returns the number of entries on a page of the platform's list.
+func (o Options) pageSize() int { return (minListed + o.Pages - 1) / o.Pages }
+
+// listed returns the number of workers on the platform's list at the start, which fill all pages.
+func (o Options) listed() int { return o.pageSize() * o.Pages }
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
