system-demo: a worker list of several pages, and workers that drain, crash and come back

Workers answer 421 to messages for another incarnation. The result has the changes and the messages that came later than DrainMs; without faults such a message fails the demo. firstRun, which nothing read, is gone.

--- a/lab/systemdemo/demo.go
+++ b/lab/systemdemo/demo.go
@@ -3,6 +3,7 @@
 package systemdemo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/multierr"
 
 	"liftgauge/internal/operator"
 )
@@ -32,9 +34,13 @@
 	For       time.Duration // duration of the traffic; 0 means until the context ends
 	Faults    bool
 	Upgrade   *Upgrade // replaces the faults; nil for none
-	Folder    string   // for settings, data and logs; empty for one that is removed at the end
-	Out       io.Writer
-	Live      bool // overwrite the progress line instead of adding lines
+	// Pages is the number of pages of the platform's worker list; 0 means defaultPages.
+	Pages int
+	// WorkerChanges makes workers drain, crash and restart, and move in the list.
+	WorkerChanges bool
+	Folder        string // for settings, data and logs; empty for one that is removed at the end
+	Out           io.Writer
+	Live          bool // overwrite the progress line instead of adding lines
 }
 
 // Summary is the result of a demonstration.
@@ -42,7 +48,11 @@
 	Sent, Accepted, Refused, Unknown int
 	Missing                          int // accepted but not run by the end
 	Again                            int // ran more than once
-	Faults                           []string
+	// LateAtDraining counts the messages that reached a worker later than DrainMs after the list showed it as draining. Some are allowed
+	// after faults.
+	LateAtDraining int
+	Faults         []string
+	WorkerChanges  []string
 }
 
 // Run starts the system, sends traffic and prints progress every second. It returns an error if the demonstration could not run or an
@@ -56,7 +66,7 @@
 		defer os.RemoveAll(folder)
 		o.Folder = folder
 	}
-	platform, err := startFakePlatform()
+	platform, err := startFakePlatform(cmp.Or(o.Pages, defaultPages))
 	if err != nil {
 		return nil, err
 	}
@@ -75,6 +85,8 @@
 	platform *fakePlatform
 	machines []*machine
 	faults   []string
+
+	workerChanges []string
 }
 
 // startSystem starts all processes and submits the first configuration.
@@ -176,11 +188,12 @@
 		defer close(sent)
 		c.run(traffic, d.options.PerSecond)
 	}()
-	faultErr := make(chan error, 1)
+	faultErr, workersErr := make(chan error, 1), make(chan error, 1)
 	go func() { faultErr <- d.injectFaults(traffic) }()
+	go func() { workersErr <- d.changeWorkers(traffic) }()
 	d.printProgress(traffic, c)
 	<-sent
-	if err := <-faultErr; err != nil {
+	if err := multierr.Append(<-faultErr, <-workersErr); err != nil {
 		return nil, err
 	}
 	return d.summarize(c)
@@ -249,12 +262,15 @@
 	for c.countMissing(d.platform) > 0 && time.Now().Before(deadline) {
 		time.Sleep(pollInterval)
 	}
-	summary := &Summary{Missing: c.countMissing(d.platform), Faults: d.faults}
+	summary := &Summary{Missing: c.countMissing(d.platform), Faults: d.faults, WorkerChanges: d.workerChanges, LateAtDraining: d.platform.lateMessages()}
 	summary.Sent, summary.Accepted, summary.Refused, summary.Unknown = c.counts()
 	_, summary.Again = d.platform.counts()
 	if summary.Missing > 0 {
 		return summary, errors.Newf("%d of %d accepted messages have not run", summary.Missing, summary.Accepted)
 	}
+	if summary.LateAtDraining > 0 && !d.options.Faults && d.options.Upgrade == nil {
+		return summary, errors.Newf("%d messages reached workers that had been draining for more than %v", summary.LateAtDraining, drainLimit)
+	}
 	return summary, nil
 }
 
--- a/lab/systemdemo/demo_test.go
+++ b/lab/systemdemo/demo_test.go
@@ -49,7 +49,7 @@
 	}
 	sent, accepted, refused, unknown := c.counts()
 	is.Equal([]int{sent, accepted, refused, unknown}, []int{4, 2, 1, 1})
-	platform, err := startFakePlatform()
+	platform, err := startFakePlatform(1)
 	is.NoErr(err)
 	defer platform.close()
 	is.Equal(c.countMissing(platform), 2)
@@ -84,3 +84,26 @@
 		is.True(err != nil)
 	}
 }
+
+func TestWorkersComeBackWithNewIDs(t *testing.T) {
+	is := is.New(t)
+	platform, err := startFakePlatform(2)
+	is.NoErr(err)
+	defer platform.close()
+	is.Equal(len(platform.workers), 2*workersPerPage)
+	platform.drain(1)
+	id := platform.stop(1)
+	platform.list.Remove(id)
+	address := platform.workers[1].address
+	is.NoErr(platform.restart(1))
+	is.True(platform.workers[1].id != id)
+	is.Equal(platform.workers[1].address, address)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/", nil)
+	is.NoErr(err)
+	request.Header.Set("X-Expect-Instance", id)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusMisdirectedRequest) // it is another incarnation
+	is.Equal(platform.lateMessages(), 0)
+}
--- a/lab/systemdemo/fakeplatform.go
+++ b/lab/systemdemo/fakeplatform.go
@@ -1,7 +1,6 @@
 package systemdemo
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,78 +8,140 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"liftgauge/internal/standin/instancelist"
 )
 
 const (
-	workerCount    = 6
+	workersPerPage = 2
+	listRatePerS   = 47 // RatePerS of CloudApi
 	workerCapacity = 8
 	workerRunTime  = 20 * time.Millisecond
 	workersService = "gaugebook-demo"
+	// drainDuration is how long a worker that is to end is shown as draining: the default of DrainMs and a second.
+	drainDuration = 4 * time.Second
 )
 
+// defaultPages is the number of pages of the worker list where none is given.
+const defaultPages = 3
+
 // fakePlatform serves the platform's worker list and the workers, which record the messages that they run.
 type fakePlatform struct {
-	servers     []*http.Server
+	list        *instancelist.List
+	listServer  *http.Server
 	listAddress string
-	entries     []listEntry
 
-	mutex    sync.Mutex
-	runs     map[string]int       // number of runs by request id
-	firstRun map[string]time.Time // start of the first run by request id
+	mutex   sync.Mutex
+	workers []*fakeWorker
+	runs    map[string]int // number of runs by request id
+	late    int            // messages that reached a worker that had been draining for too long
 }
 
-// listEntry is a worker in the JSON encoding of the worker list.
-type listEntry struct {
-	Id, Backend, Address, Zone, Revision, State string
-	Capacity, ColdRemainingMs                   int
+// fakeWorker is a worker. It is a new incarnation, with a new ID, after each start.
+type fakeWorker struct {
+	id, address, zone string
+	starts            int
+	server            *http.Server
+	drainingSince     time.Time // zero while it is ready
 }
 
-func startFakePlatform() (*fakePlatform, error) {
-	p := &fakePlatform{runs: map[string]int{}, firstRun: map[string]time.Time{}}
-	for i := range workerCount {
-		id := fmt.Sprintf("worker-%d", i+1)
-		address, err := p.serve(p.worker(id))
-		if err != nil {
+// startFakePlatform starts as many workers as fill the given number of pages of the list.
+func startFakePlatform(pages int) (*fakePlatform, error) {
+	p := &fakePlatform{runs: map[string]int{},
+		list: instancelist.New(instancelist.Options{PageSize: workersPerPage, RatePerS: listRatePerS})}
+	for i := range pages * workersPerPage {
+		w := &fakeWorker{zone: fmt.Sprintf("zone-%d", i%zones+1)}
+		if err := p.start(w, i+1); err != nil {
 			p.close()
 			return nil, err
 		}
-		p.entries = append(p.entries, listEntry{Id: id, Backend: workersService, Address: address,
-			Zone: fmt.Sprintf("zone-%d", i%zones+1), Revision: "v1", State: "ready", Capacity: workerCapacity})
+		p.workers = append(p.workers, w)
+		p.list.Append(w.entry())
 	}
 	var err error
-	p.listAddress, err = p.serve(http.HandlerFunc(p.serveList))
+	p.listServer, p.listAddress, err = serve("127.0.0.1:0", p.list)
 	if err != nil {
 		p.close()
 	}
 	return p, err
 }
 
-// serve starts an HTTP server on a free loopback port.
-func (p *fakePlatform) serve(h http.Handler) (address string, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// start starts a worker as a new incarnation, at its address if it has had one.
+func (p *fakePlatform) start(w *fakeWorker, number int) error {
+	address := w.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	p.mutex.Lock()
+	w.starts++
+	w.id, w.drainingSince = fmt.Sprintf("worker-%d.%d", number, w.starts), time.Time{}
+	id := w.id
+	p.mutex.Unlock()
+	server, address, err := serve(address, p.handler(w, id))
 	if err != nil {
-		return "", errors.Wrap(err, "listen for the fake platform")
+		return err
+	}
+	w.server, w.address = server, address
+	return nil
+}
+
+func (w *fakeWorker) entry() instancelist.Entry {
+	return instancelist.Entry{Id: w.id, Backend: workersService, Address: w.address, Zone: w.zone, Revision: "v1", State: instancelist.Ready,
+		Capacity: workerCapacity}
+}
+
+// drain shows a worker as draining.
+func (p *fakePlatform) drain(number int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	w := p.workers[number]
+	p.list.Drain(w.id)
+	w.drainingSince = time.Now()
+}
+
+// stop ends a worker, which stays on the list, and returns its ID.
+func (p *fakePlatform) stop(number int) (id string) {
+	w := p.workers[number]
+	_ = w.server.Close()
+	return w.id
+}
+
+// move moves a worker to another place in the list.
+func (p *fakePlatform) move(number int) { p.list.Move(p.workers[number].id) }
+
+// restart starts a worker that has ended, with a new ID at its address, somewhere in the list.
+func (p *fakePlatform) restart(number int) error {
+	w := p.workers[number]
+	if err := p.start(w, number+1); err != nil {
+		return err
+	}
+	p.list.Insert(w.entry())
+	return nil
+}
+
+// serve starts an HTTP server on a loopback address.
+func serve(address string, h http.Handler) (*http.Server, string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "listen for the fake platform")
 	}
 	server := &http.Server{Handler: h}
-	p.servers = append(p.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
+	return server, listener.Addr().String(), nil
 }
 
 func (p *fakePlatform) close() {
-	for _, server := range p.servers {
-		_ = server.Close()
+	for _, w := range p.workers {
+		_ = w.server.Close()
+	}
+	if p.listServer != nil {
+		_ = p.listServer.Close()
 	}
 }
 
-func (p *fakePlatform) serveList(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"Instances": p.entries, "NextPageToken": nil})
-}
-
-// worker returns a handler that simulates a worker: it takes workerRunTime per message, signs the response and rejects messages beyond its
-// capacity.
-func (p *fakePlatform) worker(id string) http.Handler {
+// handler returns a handler that simulates an incarnation of a worker: it takes workerRunTime per message, signs the response, and rejects
+// messages beyond its capacity and those for another incarnation.
+func (p *fakePlatform) handler(worker *fakeWorker, id string) http.Handler {
 	slots := make(chan struct{}, workerCapacity)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Instance-Id", id)
@@ -89,6 +150,11 @@
 		}
 		request := r.Header.Get("X-Request-Id")
 		w.Header().Set("X-Request-Id", request)
+		if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		p.checkDrain(worker)
 		select {
 		case slots <- struct{}{}:
 			defer func() { <-slots }()
@@ -107,11 +173,24 @@
 func (p *fakePlatform) recordRun(request string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.runs[request]++; p.runs[request] == 1 {
-		p.firstRun[request] = time.Now()
+	p.runs[request]++
+}
+
+// checkDrain counts a message that reaches a worker later than DrainMs after the list showed it as draining.
+func (p *fakePlatform) checkDrain(w *fakeWorker) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !w.drainingSince.IsZero() && time.Since(w.drainingSince) > drainLimit {
+		p.late++
 	}
 }
 
+func (p *fakePlatform) lateMessages() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.late
+}
+
 // counts returns how many messages have run, and how many of them more than once.
 func (p *fakePlatform) counts() (ran, again int) {
 	p.mutex.Lock()
--- a/lab/systemdemo/machines.go
+++ b/lab/systemdemo/machines.go
@@ -92,7 +92,7 @@
 	case "dispatcher":
 		fmt.Fprintf(&b, "Frontend = %q\nReadiness = %q\n", hostPort(m.ip, frontendPort), hostPort(m.ip, readinessPort))
 	}
-	fmt.Fprintf(&b, "[Limits]\nMemoryMb = 284\nDiskMb = 256\n[FaultTolerance]\nMachines = 1\n[CloudApi]\nAddress = %q\nRatePerS = 47.0\nMaxLagMs = 800\n", listAddress)
+	fmt.Fprintf(&b, "[Limits]\nMemoryMb = 284\nDiskMb = 256\n[FaultTolerance]\nMachines = 1\n[CloudApi]\nAddress = %q\nRatePerS = %d\nMaxLagMs = 800\n", listAddress, listRatePerS)
 	return os.WriteFile(m.file, []byte(b.String()), 0o600)
 }
 
