workerlist: a worker that came back at its address is not dropped again by its former entry

Seen in tests: the platform lists a crashed worker for some seconds, maybe on a later page than its next incarnation at the same address. The page with the new one dropped the old one, the page with the old one dropped the new one, and the complete scan took both. Since each page is published dispatchers would lose the new worker for a part of each scan.

Cause: entries that share an address were told apart by the page that was read last, not by which came later.

Change: a worker that is new to the reader supersedes the one that is known at its address; the latter's entry is passed over until two complete scans have not found it. Two that were found at the same address by the first scan both stay.

--- a/workerlist/reader.go
+++ b/workerlist/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,9 @@
 	// attemptsPerPage is how many times a page is requested before the scan restarts from the first page.
 	attemptsPerPage = 3
 	// After failures the pause doubles from the initial to the maximum value.
+	// supersededScans is the number of complete scans that must not find a superseded worker before it is forgotten: entries move between
+	// pages, so that one scan may miss it.
+	supersededScans     = 2
 	initialErrorPause   = 200 * time.Millisecond
 	maxErrorPause       = 2 * time.Second
 	initialRefusedPause = 500 * time.Millisecond
@@ -45,8 +49,8 @@
 // Reader decides which page to request next. It must be used by one goroutine; at most one request is in flight.
 //
 // A worker is removed from the list only by a complete scan. As entries can move between pages during a scan of several
-// pages, the scan may miss some: a worker missing from such a scan is kept until the next scan misses it too, unless its
-// address was reassigned to another worker.
+// pages, the scan may miss some: a worker missing from such a scan is kept until the next scan misses it too, unless a new
+// worker has its address.
 type Reader struct {
 	options Options
 	budget  bucket
@@ -55,6 +59,8 @@
 	complete bool
 	// missed holds the IDs of the workers that were missing from the last scan.
 	missed map[string]bool
+	// superseded holds the IDs of listed workers whose address a new worker has, with the number of complete scans since a page had them.
+	superseded map[string]int
 
 	inFlight bool
 	request  Request
@@ -83,7 +89,7 @@
 	if o.Interval <= 0 {
 		o.Interval = DefaultInterval
 	}
-	return &Reader{options: o, budget: newBucket(o.RatePerS * o.Share)}
+	return &Reader{options: o, budget: newBucket(o.RatePerS * o.Share), superseded: map[string]int{}}
 }
 
 // Next returns the request to make now. If none is due, ok is false and wait is the time until one is; 0 while a request is
@@ -123,7 +129,7 @@
 	for n := range workers {
 		workers[n].setColdUntil(req.RequestedAt)
 	}
-	return r.addPage(workers, next), nil
+	return r.addPage(r.supersede(workers), next), nil
 }
 
 // Fail reports that a request got no response.
@@ -183,6 +189,7 @@
 	kept := r.newlyMissed(done)
 	r.list, _ = Merge(r.list, done.startedAt, append(kept, done.workers...))
 	r.complete = true
+	r.forgetSuperseded()
 	return true
 }
 
@@ -191,7 +198,59 @@
 	if !r.complete {
 		return
 	}
-	r.list, _ = Merge(r.list, r.list.ReadAt, append(withoutAddresses(r.list.Workers, workers), workers...))
+	r.list, _ = Merge(r.list, r.list.ReadAt, slices.Concat(r.list.Workers, workers))
+}
+
+// supersede removes the workers whose address a new worker on this page has, and returns the page without those that were superseded before.
+// The platform lists a worker that has crashed for some time, maybe on a later page than its next incarnation.
+func (r *Reader) supersede(page []Worker) []Worker {
+	if owners := r.newOwners(page); len(owners) > 0 {
+		for _, w := range r.list.Workers {
+			if id, taken := owners[w.Address]; taken && id != w.ID {
+				r.superseded[w.ID] = 0
+			}
+		}
+	}
+	if len(r.superseded) == 0 {
+		return page
+	}
+	r.list, _ = Merge(r.list, r.list.ReadAt, r.withoutSuperseded(r.list.Workers))
+	r.scan.workers = r.withoutSuperseded(r.scan.workers)
+	for _, w := range page {
+		if _, listed := r.superseded[w.ID]; listed {
+			r.superseded[w.ID] = 0
+		}
+	}
+	return r.withoutSuperseded(page)
+}
+
+// newOwners returns the IDs of the new workers on a page by their addresses.
+func (r *Reader) newOwners(page []Worker) map[string]string {
+	owners := map[string]string{}
+	for _, w := range page {
+		if _, superseded := r.superseded[w.ID]; !superseded && !r.list.contains(w.ID) {
+			owners[w.Address] = w.ID
+		}
+	}
+	return owners
+}
+
+func (r *Reader) withoutSuperseded(workers []Worker) []Worker {
+	return slices.DeleteFunc(slices.Clone(workers), func(w Worker) bool {
+		_, superseded := r.superseded[w.ID]
+		return superseded
+	})
+}
+
+// forgetSuperseded ends the memory of superseded workers that several complete scans have not found.
+func (r *Reader) forgetSuperseded() {
+	for id, scans := range r.superseded {
+		if scans == supersededScans {
+			delete(r.superseded, id)
+		} else {
+			r.superseded[id]++
+		}
+	}
 }
 
 // newlyMissed returns the workers that are missing for the first time, from a scan of several pages.
--- a/workerlist/workerlist.go
+++ b/workerlist/workerlist.go
@@ -3,7 +3,11 @@
 // The package does no I/O: a Reader decides which page to request and when, and processes the responses; the caller makes the calls.
 package workerlist
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Worker is one entry of the list.
 type Worker struct {
@@ -31,6 +35,12 @@
 	Workers []Worker
 }
 
+// contains reports whether a worker is on the list.
+func (l *List) contains(id string) bool {
+	_, found := slices.BinarySearchFunc(l.Workers, id, func(w Worker, id string) int { return cmp.Compare(w.ID, id) })
+	return found
+}
+
 // coldTolerance is the difference in a worker's ColdUntil between two responses that does not count as a change.
 const coldTolerance = 500 * time.Millisecond
 
