A process that begins to read the worker list goes on from the list that is known

Seen in tests: a dispatcher that reads the list itself takes over nothing until a scan is complete, so a worker that drains gets messages on for as long as a later page is slow or fails. And a reader that begins (another holder of the duty, each local reading) knows no list, so that a worker that moves between pages during its first scan is dropped.

Cause: NewReader began with an empty list, which pages must not be merged into, and whose workers cannot be missed.

Change: Options.Known is the list that others have published, or that is in use; a dispatcher applies each page that changes it. Such a list keeps its age, and needs the list in use as its basis, so that it undoes nothing that was published meanwhile. The holder of the duty still publishes nothing before its first complete scan: what it knows may lag behind the holder before.

--- a/internal/instances/instances.go
+++ b/internal/instances/instances.go
@@ -1,4 +1,4 @@
-// Package instances fetches the platform's list of workers, and converts it to the form that processes exchange.
+// Package instances fetches the platform's list of workers, and converts it to and from the form that processes exchange.
 package instances
 
 import (
@@ -56,3 +56,15 @@
 	}
 	return entries
 }
+
+// Workers converts entries back to workers of a list.
+func Workers(entries []protocol.Worker) []workerlist.Worker {
+	workers := make([]workerlist.Worker, 0, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		workers = append(workers, workerlist.Worker{
+			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Revision: e.Revision, Capacity: int(e.Capacity), Draining: e.Draining,
+		})
+	}
+	return workers
+}
--- a/internal/instances/instances_test.go
+++ b/internal/instances/instances_test.go
@@ -39,12 +39,14 @@
 	is.True(ok)
 	body := `{"Instances":[{"Id":"a","Backend":"b","Address":"h:1","Zone":"z","Revision":"v","Capacity":3,"State":"draining","ColdRemainingMs":1500},
 		{"Id":"w","Backend":"b","Address":"h:2","Zone":"z","Capacity":6,"State":"ready","ColdRemainingMs":0}],"NextPageToken":null}`
-	complete, changed, err := reader.Answer(started+time.Millisecond, request, http.StatusOK, []byte(body))
+	complete, err := reader.Answer(started+time.Millisecond, request, http.StatusOK, []byte(body))
 	is.NoErr(err)
-	is.True(complete && changed)
 	list := reader.List()
+	is.True(complete && list.Number == 1)
 	is.Equal(Entries(&list), []protocol.Worker{
 		{ID: "a", Service: "b", Address: "h:1", Zone: "z", Revision: "v", Capacity: 3, Draining: true},
 		{ID: "w", Service: "b", Address: "h:2", Zone: "z", Capacity: 6},
 	})
+	back := workerlist.List{Workers: Workers(Entries(&list))}
+	is.Equal(Entries(&back), Entries(&list))
 }
--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -65,10 +65,19 @@
 	r.published.current = false
 	r.term, r.stopped, r.readAt = term, false, r.daemon.now()
 	r.stale.Store(false)
-	r.reader = workerlist.NewReader(workerlist.Options{RatePerS: r.daemon.settings.CloudApi.RatePerS})
+	r.reader = workerlist.NewReader(workerlist.Options{
+		RatePerS: r.daemon.settings.CloudApi.RatePerS,
+		Known:    r.knownList(),
+	})
 	r.step(term)
 }
 
+// knownList returns the list that another holder of the duty has published, so that the first scan does not drop the workers that it misses.
+func (r *listReader) knownList() workerlist.List {
+	view := r.daemon.agent.View()
+	return workerlist.List{ReadAt: view.WorkersReadAt, Workers: instances.Workers(view.Workers.Workers)}
+}
+
 // stop ends the duty.
 func (r *listReader) stop() {
 	r.stopped = true
@@ -140,6 +149,8 @@
 		a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: r.published.version, Body: workers.Append(nil)})
 	case list.ReadAt != r.published.readAt:
 		a.PublishWorkersFresh(protocol.WorkersFreshness{Version: r.published.version, ReadAt: readAt})
+	default:
+		return
 	}
 	r.published.current, r.published.number, r.published.readAt = true, list.Number, list.ReadAt
 }
--- a/internal/roles/dispatcher/directory/directory.go
+++ b/internal/roles/dispatcher/directory/directory.go
@@ -142,17 +142,27 @@
 		view.NodesVersion.Less(than.NodesVersion) || view.WorkersVersion.Less(than.WorkersVersion)
 }
 
-// SetWorkers sets the list of workers as read by this process itself. It stays in use until a list that was read later arrives.
-func (d *Directory) SetWorkers(workers []protocol.Worker, version protocol.ItemVersion, readAt time.Duration) {
+// LocalWorkers is a list of workers that this process has read itself.
+type LocalWorkers struct {
+	Workers []protocol.Worker
+	Version protocol.ItemVersion
+	ReadAt  time.Duration // when it was last read completely
+	// Basis is the version of the list that some of Workers may come from, if not all pages were read since.
+	Basis protocol.ItemVersion
+}
+
+// SetWorkers puts a list into use that is not older than the current one. One of the same time must be based on the current one. The list stays
+// in use until one that was read later arrives.
+func (d *Directory) SetWorkers(list LocalWorkers) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.current.Load()
-	if readAt <= before.WorkersReadAt {
+	if list.ReadAt < before.WorkersReadAt || list.ReadAt == before.WorkersReadAt && list.Basis != before.WorkersVersion {
 		return
 	}
 	after := *before
 	after.localWorkers = true
-	after.Workers, after.WorkersVersion, after.WorkersReadAt = workers, version, readAt
+	after.Workers, after.WorkersVersion, after.WorkersReadAt = list.Workers, list.Version, list.ReadAt
 	d.publish(before, &after)
 }
 
--- a/internal/roles/dispatcher/directory/directory_test.go
+++ b/internal/roles/dispatcher/directory/directory_test.go
@@ -87,9 +87,9 @@
 	v.WorkersVersion, v.WorkersReadAt, v.Workers.Workers = version(1), time.Second, []protocol.Worker{{ID: "w1"}}
 	d.Update(&v)
 	is.Equal(d.Current().Workers[0].ID, "w1")
-	d.SetWorkers([]protocol.Worker{{ID: "late"}}, version(9), time.Second)
+	d.SetWorkers(LocalWorkers{Workers: []protocol.Worker{{ID: "late"}}, Version: version(9), ReadAt: time.Second})
 	is.Equal(d.Current().Workers[0].ID, "w1") // not newer than the current list
-	d.SetWorkers([]protocol.Worker{{ID: "own"}}, version(9), 3*time.Second)
+	d.SetWorkers(LocalWorkers{Workers: []protocol.Worker{{ID: "own"}}, Version: version(9), ReadAt: 3 * time.Second})
 	is.Equal(d.Current().Workers[0].ID, "own")
 	v2 := v
 	v2.WorkersVersion, v2.WorkersReadAt, v2.Workers.Workers = version(2), 2*time.Second, []protocol.Worker{{ID: "w2"}}
@@ -104,3 +104,20 @@
 	d.Update(&v4)
 	is.Equal(d.Current().Workers[0].ID, "w3")
 }
+
+// TestPartialLocalListNeedsTheListInUseAsItsBasis guards against pages merged into a list that has been replaced meanwhile, whose changes would be
+// undone.
+func TestPartialLocalListNeedsTheListInUseAsItsBasis(t *testing.T) {
+	is := is.New(t)
+	d := New(Self{Key: "me"}, zap.NewNop())
+	v := view()
+	v.WorkersVersion, v.WorkersReadAt, v.Workers.Workers = version(1), time.Second, []protocol.Worker{{ID: "w1"}}
+	d.Update(&v)
+	partial := LocalWorkers{Workers: []protocol.Worker{{ID: "w1", Draining: true}}, Version: protocol.ItemVersion{Number: 1}, ReadAt: time.Second, Basis: version(1)}
+	d.SetWorkers(partial)
+	is.True(d.Current().Workers[0].Draining)
+	d.SetWorkers(LocalWorkers{Workers: []protocol.Worker{{ID: "w2"}}, Version: protocol.ItemVersion{Number: 2}, ReadAt: time.Second, Basis: version(1)})
+	is.Equal(d.Current().Workers[0].ID, "w1") // the list in use is another one by now
+	d.SetWorkers(LocalWorkers{Workers: []protocol.Worker{{ID: "w3"}}, Version: protocol.ItemVersion{Number: 2}, ReadAt: time.Second, Basis: partial.Version})
+	is.Equal(d.Current().Workers[0].ID, "w3")
+}
--- a/internal/roles/dispatcher/dispatcher_test.go
+++ b/internal/roles/dispatcher/dispatcher_test.go
@@ -175,3 +175,35 @@
 	r.agent.publish(func(v *agent.View) { v.WorkersReadAt = 2 * time.Minute }) // control reads the list again
 	is.Equal(r.directory.Current().Workers[0].ID, "w1")
 }
+
+// TestPagesOfABrokenOffLocalReadingTakeEffect guards against a dispatcher that reads the list itself and goes on sending to a worker that drains,
+// as a later page cannot be read.
+func TestPagesOfABrokenOffLocalReadingTakeEffect(t *testing.T) {
+	is := is.New(t)
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Query().Get("PageToken") != "" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		io.WriteString(w, `{"Instances":[{"Id":"w1","Backend":"b","Address":"10.0.0.1:80","State":"draining"}],"NextPageToken":"p-1"}`)
+	}))
+	defer platform.Close()
+	r := newHarness(t, succeed, func(s *nodeconfig.Settings) {
+		s.CloudApi.Address, s.CloudApi.RatePerS = strings.TrimPrefix(platform.URL, "http://"), 40
+	})
+	r.configure(1)
+	r.publishNodes()
+	before := r.directory.Current()
+	is.Equal(before.Workers[0].ID, "w1")
+	is.True(!before.Workers[0].Draining)
+	changed := r.directory.Changed()
+	r.agent.steady.Store(int64(time.Minute))
+	select {
+	case <-changed:
+	case <-time.After(testTimeout):
+		t.Fatal("the page that was read has no effect")
+	}
+	s := r.directory.Current()
+	is.True(s.Workers[0].Draining)
+	is.Equal(s.WorkersReadAt, before.WorkersReadAt) // the rest of the list is as old as before
+}
--- a/internal/roles/dispatcher/list.go
+++ b/internal/roles/dispatcher/list.go
@@ -10,6 +10,7 @@
 	"liftgauge/internal/instances"
 	"liftgauge/internal/network"
 	"liftgauge/internal/protocol"
+	"liftgauge/internal/roles/dispatcher/directory"
 	"liftgauge/workerlist"
 )
 
@@ -20,10 +21,12 @@
 
 // localListReader reads the platform's list of workers while no newer list arrives from other processes.
 type localListReader struct {
-	dispatcher     *dispatcher
-	client         *http.Client
-	reader         *workerlist.Reader
-	completedReads uint64
+	dispatcher    *dispatcher
+	client        *http.Client
+	reader        *workerlist.Reader
+	appliedNumber uint64               // Number of the list that this reader last put into use
+	versions      uint64               // of lists that were put into use
+	basis         protocol.ItemVersion // of the list that this reader began with, or that it last put into use
 }
 
 // watchList has this process read the list of workers itself while the newest one it has is too old.
@@ -60,7 +63,8 @@
 	if r.reader == nil {
 		share := 1 / float64(1+len(d.directory.Current().Dispatchers))
 		r.reader = workerlist.NewReader(workerlist.Options{RatePerS: d.settings.CloudApi.RatePerS, Share: share,
-			Interval: d.settings.Bounds.Drain() / (2 * staleListDivisor)})
+			Interval: d.settings.Bounds.Drain() / (2 * staleListDivisor), Known: r.knownList()})
+		r.appliedNumber = 0
 		d.logger.Warn("the list of workers is old; reading it locally", zap.Duration("age", d.listAge()))
 	}
 	for ctx.Err() == nil {
@@ -78,6 +82,13 @@
 	}
 }
 
+// knownList returns the list in use, and makes it the basis that the pages that are read are merged into.
+func (r *localListReader) knownList() workerlist.List {
+	snapshot := r.dispatcher.directory.Current()
+	r.basis = snapshot.WorkersVersion
+	return workerlist.List{ReadAt: snapshot.WorkersReadAt, Workers: instances.Workers(snapshot.Workers)}
+}
+
 // fetchPage requests one page. It returns true once the list is complete or the request has failed.
 func (r *localListReader) fetchPage(ctx context.Context, request workerlist.Request) bool {
 	d := r.dispatcher
@@ -92,10 +103,19 @@
 		d.logger.Warn("the list of workers cannot be read", zap.Int("status", status), zap.Error(err))
 		return true
 	}
-	if complete {
-		r.completedReads++
-		list := r.reader.List()
-		d.directory.SetWorkers(instances.Entries(&list), protocol.ItemVersion{Number: r.completedReads}, list.ReadAt)
-	}
+	r.apply(complete)
 	return complete
 }
+
+// apply puts the list into use if it has changed or was read completely.
+func (r *localListReader) apply(complete bool) {
+	list := r.reader.List()
+	if list.Number == r.appliedNumber && !complete {
+		return
+	}
+	r.appliedNumber = list.Number
+	r.versions++
+	next := directory.LocalWorkers{Workers: instances.Entries(&list), Version: protocol.ItemVersion{Number: r.versions}, ReadAt: list.ReadAt, Basis: r.basis}
+	r.dispatcher.directory.SetWorkers(next)
+	r.basis = next.Version
+}
--- a/workerlist/reader.go
+++ b/workerlist/reader.go
@@ -35,6 +35,9 @@
 	Share float64
 	// Interval is the time between the starts of two consecutive scans; 0 means DefaultInterval.
 	Interval time.Duration
+	// Known is the list as it was last known, if it was. Its workers are kept until scans have missed them, and pages are merged into it from
+	// the first scan on.
+	Known List
 }
 
 // Request is one call to make: GET /instances with the page token, if any.
@@ -81,7 +84,7 @@
 	attempts int
 }
 
-// NewReader returns a reader with an empty list.
+// NewReader returns a reader whose list is the known one.
 func NewReader(o Options) *Reader {
 	if o.Share <= 0 {
 		o.Share = DefaultShare
@@ -89,7 +92,8 @@
 	if o.Interval <= 0 {
 		o.Interval = DefaultInterval
 	}
-	return &Reader{options: o, budget: newBucket(o.RatePerS * o.Share), superseded: map[string]int{}}
+	known := List{ReadAt: o.Known.ReadAt, Workers: sorted(o.Known.Workers)}
+	return &Reader{options: o, budget: newBucket(o.RatePerS * o.Share), list: known, superseded: map[string]int{}}
 }
 
 // Next returns the request to make now. If none is due, ok is false and wait is the time until one is; 0 while a request is
@@ -140,7 +144,7 @@
 	}
 }
 
-// List returns the current list. It is empty until the first scan is complete.
+// List returns the current list. Until the first scan is complete it is the known one with the changes of the pages that were read.
 func (r *Reader) List() List { return r.list }
 
 // Complete reports whether any scan has been completed.
@@ -195,8 +199,8 @@
 
 // mergePage merges a single page into the list before the scan is complete.
 func (r *Reader) mergePage(workers []Worker) {
-	if !r.complete {
-		return
+	if !r.complete && len(r.list.Workers) == 0 {
+		return // part of a list must not pass for all of it
 	}
 	r.list, _ = Merge(r.list, r.list.ReadAt, slices.Concat(r.list.Workers, workers))
 }
--- a/workerlist/reader_test.go
+++ b/workerlist/reader_test.go
@@ -364,6 +364,44 @@
 	t.Fatal("the superseded worker is never forgotten")
 }
 
+// TestFirstScanKeepsKnownWorkers guards against a worker that is dropped when another process begins to read the list while it moves between pages.
+func TestFirstScanKeepsKnownWorkers(t *testing.T) {
+	is := is.New(t)
+	p := &platform{ids: []string{"a", "b", "c", "d"}, pageSize: 2}
+	known := []Worker{}
+	for _, id := range p.ids {
+		known = append(known, Worker{ID: id, Service: "s", Address: "address-of-" + id, Capacity: 1})
+	}
+	r := NewReader(Options{Known: List{ReadAt: 7 * time.Second, Workers: known}})
+	now := 8 * time.Second
+	is.Equal(ids(r), p.ids)
+	p.call(t, r, &now) // a, b
+	p.ids = []string{"b", "c", "d"}
+	is.Equal(r.List().ReadAt, 7*time.Second)
+	is.True(!r.Complete())
+	complete, _ := p.call(t, r, &now) // returns only d
+	is.True(complete)
+	is.Equal(ids(r), []string{"a", "b", "c", "d"})
+	is.Equal(r.List().ReadAt, 8*time.Second)
+}
+
+// TestKnownWorkersThatAreGoneAreRemoved checks that a list from before does not outlive a scan of one page, or two of several pages.
+func TestKnownWorkersThatAreGoneAreRemoved(t *testing.T) {
+	is := is.New(t)
+	known := List{Workers: []Worker{{ID: "gone", Service: "s", Address: "x:1", Capacity: 1}}}
+	for pageSize, scans := range map[int]int{5: 1, 1: 2} {
+		p := &platform{ids: []string{"a", "b"}, pageSize: pageSize}
+		r := NewReader(Options{Known: known})
+		now := time.Duration(0)
+		for done := 0; done < scans; {
+			if complete, _ := p.call(t, r, &now); complete {
+				done++
+			}
+		}
+		is.Equal(ids(r), []string{"a", "b"})
+	}
+}
+
 // checkBudget checks that the calls of any interval are within a rate.
 func checkBudget(t interface{ Fatalf(string, ...any) }, calls []time.Duration, perSecond float64) {
 	for i := range calls {
