A long worker list is read in time by one process

Seen: with 15 pages at RatePerS 47 and DrainMs 3000 nothing is in trouble, yet the duty of reading changes hands every two seconds and all dispatchers read the list themselves: calls grow with dispatchers, and the platform answers 429. With 5 pages dispatchers read it now and then.

Cause: the holder used a tenth of RatePerS whatever the length of the list, 3.2 s for 15 pages, and gave the duty up after DrainMs/2 without a complete scan, as if it could not reach the platform. The age of the list was that of the start of the last complete scan, up to two scans.

Change: the holder reads within DrainMs/5 where half of RatePerS is enough for that, else as fast as half allows; three scans without a complete one give the duty up, if that is longer than DrainMs/2. The list is as old as the page that has not been read for the longest time. The age of an unchanged list is published in steps of 250 ms, so that short lists cost as many datagrams as before.

--- a/internal/roles/control/reader.go
+++ b/internal/roles/control/reader.go
@@ -41,12 +41,21 @@
 }
 
 // staleAfter returns how long the holder of the duty may fail to read the list before it gives the duty up: half of the maximum age of the
-// list, and at least the time of a few calls.
+// list, and at least the time of a few calls or scans.
 func (r *listReader) staleAfter() time.Duration {
-	return max(r.daemon.settings.Bounds.Drain()/2, minStaleAfter)
+	return max(r.daemon.settings.Bounds.Drain()/2, minStaleAfter, staleScans*r.reader.ScanTime())
 }
 
-const minStaleAfter = time.Second
+const (
+	minStaleAfter = time.Second
+	// freshnessStep is by how much the list must be newer for its age to be published without a change. It is less than the interval of scans.
+	freshnessStep = 250 * time.Millisecond
+	staleScans    = 3
+	// scansPerDrain is the number of scans within DrainMs that a long list is read at, if maxListShare of the platform's rate limit allows it.
+	scansPerDrain = 5
+	// maxListShare leaves the rest of the rate limit to dispatchers that read the list themselves, and to other callers.
+	maxListShare = 0.5
+)
 
 func newListReader(d *daemon) *listReader {
 	return &listReader{daemon: d, client: network.Client(d.environment.Network, instances.CallTimeout)}
@@ -66,8 +75,10 @@
 	r.term, r.stopped, r.readAt = term, false, r.daemon.now()
 	r.stale.Store(false)
 	r.reader = workerlist.NewReader(workerlist.Options{
-		RatePerS: r.daemon.settings.CloudApi.RatePerS,
-		Known:    r.knownList(),
+		RatePerS:   r.daemon.settings.CloudApi.RatePerS,
+		MaxShare:   maxListShare,
+		ScanWithin: r.daemon.settings.Bounds.Drain() / scansPerDrain,
+		Known:      r.knownList(),
 	})
 	r.step(term)
 }
@@ -147,7 +158,7 @@
 		workers := protocol.Workers{ReadAt: readAt, Workers: instances.Entries(&list)}
 		r.published.version = protocol.ItemVersion{Term: r.term, Number: r.published.version.Number + 1}
 		a.Publish(protocol.Item{Kind: protocol.ItemWorkers, Version: r.published.version, Body: workers.Append(nil)})
-	case list.ReadAt != r.published.readAt:
+	case list.ReadAt-r.published.readAt >= freshnessStep:
 		a.PublishWorkersFresh(protocol.WorkersFreshness{Version: r.published.version, ReadAt: readAt})
 	default:
 		return
--- a/sim/system/workerlist_test.go
+++ b/sim/system/workerlist_test.go
@@ -47,6 +47,9 @@
 			}
 		})
 		is.Equal(w.Checker.Figures().Open, 0)
+		calls := w.Platform.list.Calls()
+		is.Equal(calls.Refused, 0)
+		is.True(calls.Answered <= int(time.Since(w.Checker.start).Seconds()*listRatePerS/2)) // one process reads the list
 	})
 }
 
--- a/workerlist/bucket.go
+++ b/workerlist/bucket.go
@@ -14,10 +14,22 @@
 }
 
 func newBucket(perSecond float64) bucket {
-	size := max(1, perSecond*burstTime.Seconds())
+	size := bucketSize(perSecond)
 	return bucket{perSecond: perSecond, size: size, tokens: size}
 }
 
+func bucketSize(perSecond float64) float64 { return max(1, perSecond*burstTime.Seconds()) }
+
+// setRate changes the refill rate from now on. The tokens that have accrued stay, up to the new size.
+func (b *bucket) setRate(now time.Duration, perSecond float64) {
+	if perSecond == b.perSecond {
+		return
+	}
+	b.fill(now)
+	b.perSecond, b.size = perSecond, bucketSize(perSecond)
+	b.tokens = min(b.tokens, b.size)
+}
+
 func (b *bucket) fill(now time.Duration) {
 	if b.started && now > b.filledAt {
 		b.tokens = min(b.size, b.tokens+(now-b.filledAt).Seconds()*b.perSecond)
--- a/workerlist/reader.go
+++ b/workerlist/reader.go
@@ -31,8 +31,12 @@
 type Options struct {
 	// RatePerS is the platform's limit on calls per second, shared by all callers; 0 means that no limit is known.
 	RatePerS float64
-	// Share is the fraction of RatePerS that this reader may use; 0 means DefaultShare.
+	// Share is the fraction of RatePerS that this reader uses; 0 means DefaultShare.
 	Share float64
+	// MaxShare is the fraction of RatePerS that it may use instead where a scan would take longer than ScanWithin; 0 means Share.
+	MaxShare float64
+	// ScanWithin is the duration that a scan should not exceed because of the call budget; 0 means that it may take any time.
+	ScanWithin time.Duration
 	// Interval is the time between the starts of two consecutive scans; 0 means DefaultInterval.
 	Interval time.Duration
 	// Known is the list as it was last known, if it was. Its workers are kept until scans have missed them, and pages are merged into it from
@@ -60,6 +64,8 @@
 	list    List
 	// complete is set after the first complete scan.
 	complete bool
+	// pageTimes holds when each page was requested in the last complete scan.
+	pageTimes []time.Duration
 	// missed holds the IDs of the workers that were missing from the last scan.
 	missed map[string]bool
 	// superseded holds the IDs of listed workers whose address a new worker has, with the number of complete scans since a page had them.
@@ -75,9 +81,9 @@
 
 // scan is a pass over the pages of the list that is in progress.
 type scan struct {
-	startedAt time.Duration
-	workers   []Worker
-	pages     int
+	workers []Worker
+	// pageTimes holds when each page was requested.
+	pageTimes []time.Duration
 	token     string
 	// seen holds the page tokens so far: following a repeated token would never end.
 	seen     map[string]bool
@@ -96,6 +102,27 @@
 	return &Reader{options: o, budget: newBucket(o.RatePerS * o.Share), list: known, superseded: map[string]int{}}
 }
 
+// share returns the fraction of the rate limit that a list of so many pages takes.
+func (r *Reader) share(pages int) float64 {
+	o := r.options
+	if o.ScanWithin <= 0 || o.RatePerS <= 0 || o.MaxShare <= o.Share {
+		return o.Share
+	}
+	needed := float64(pages) / o.ScanWithin.Seconds() / o.RatePerS
+	return min(max(o.Share, needed), o.MaxShare)
+}
+
+// pages returns the number of pages of the list as far as it is known.
+func (r *Reader) pages() int { return max(len(r.pageTimes), len(r.scan.pageTimes), 1) }
+
+// ScanTime returns how long a scan takes because of the call budget.
+func (r *Reader) ScanTime() time.Duration {
+	if r.budget.perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.pages()) / r.budget.perSecond * float64(time.Second))
+}
+
 // Next returns the request to make now. If none is due, ok is false and wait is the time until one is; 0 while a request is
 // in flight.
 func (r *Reader) Next(now time.Duration) (req Request, wait time.Duration, ok bool) {
@@ -106,8 +133,8 @@
 		return Request{}, wait, false
 	}
 	r.budget.take(now)
-	if r.scan.pages == 0 {
-		r.scan = scan{startedAt: now, attempts: r.scan.attempts}
+	if len(r.scan.pageTimes) == 0 {
+		r.scan = scan{attempts: r.scan.attempts}
 	}
 	r.inFlight = true
 	r.request = Request{Number: r.request.Number + 1, PageToken: r.scan.token, RequestedAt: now}
@@ -133,7 +160,9 @@
 	for n := range workers {
 		workers[n].setColdUntil(req.RequestedAt)
 	}
-	return r.addPage(r.supersede(workers), next), nil
+	complete = r.addPage(r.supersede(workers), next, req.RequestedAt)
+	r.budget.setRate(now, r.options.RatePerS*r.share(r.pages()))
+	return complete, nil
 }
 
 // Fail reports that a request got no response.
@@ -175,10 +204,10 @@
 }
 
 // addPage adds a page to the scan, and reports whether it was the last one, which completes the scan.
-func (r *Reader) addPage(workers []Worker, next string) (complete bool) {
+func (r *Reader) addPage(workers []Worker, next string, requestedAt time.Duration) (complete bool) {
 	current := &r.scan
 	current.workers = append(current.workers, workers...)
-	current.pages++
+	current.pageTimes = append(current.pageTimes, requestedAt)
 	if next != "" {
 		if current.seen == nil {
 			current.seen = map[string]bool{}
@@ -188,10 +217,11 @@
 		return false
 	}
 	done := r.scan
-	r.scan = scan{}
-	r.notBefore = max(r.notBefore, done.startedAt+r.options.Interval)
+	startedAt := done.pageTimes[0]
+	r.scan, r.pageTimes = scan{}, done.pageTimes
+	r.notBefore = max(r.notBefore, startedAt+r.options.Interval)
 	kept := r.newlyMissed(done)
-	r.list, _ = Merge(r.list, done.startedAt, append(kept, done.workers...))
+	r.list, _ = Merge(r.list, startedAt, append(kept, done.workers...))
 	r.complete = true
 	r.forgetSuperseded()
 	return true
@@ -202,7 +232,16 @@
 	if !r.complete && len(r.list.Workers) == 0 {
 		return // part of a list must not pass for all of it
 	}
-	r.list, _ = Merge(r.list, r.list.ReadAt, slices.Concat(r.list.Workers, workers))
+	r.list, _ = Merge(r.list, r.oldestPage(), slices.Concat(r.list.Workers, workers))
+}
+
+// oldestPage returns when the page was requested that has not been read for the longest time: of the last complete scan, the next page after
+// those that this scan has read.
+func (r *Reader) oldestPage() time.Duration {
+	if !r.complete {
+		return r.list.ReadAt
+	}
+	return max(r.list.ReadAt, r.pageTimes[min(len(r.scan.pageTimes), len(r.pageTimes)-1)])
 }
 
 // supersede removes the workers whose address a new worker on this page has, and returns the page without those that were superseded before.
@@ -261,7 +300,7 @@
 func (r *Reader) newlyMissed(done scan) []Worker {
 	before := r.missed
 	r.missed = map[string]bool{}
-	if done.pages < 2 {
+	if len(done.pageTimes) < 2 {
 		return nil
 	}
 	found := map[string]bool{}
--- a/workerlist/workerlist.go
+++ b/workerlist/workerlist.go
@@ -30,7 +30,7 @@
 type List struct {
 	// Number counts the changes of Workers.
 	Number uint64
-	// ReadAt is when the first page of the last complete scan was requested.
+	// ReadAt is when the page was requested that has not been read for the longest time.
 	ReadAt  time.Duration
 	Workers []Worker
 }
