--- a/sim/system/workerlist_test.go
+++ b/sim/system/workerlist_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -53,9 +54,12 @@
 	})
 }
 
+var listSeeds = flag.Int("system.lists", faultDays, "seeds of TestChangesOfALongWorkerList, from that of the first day on")
+
 // TestChangesOfALongWorkerList plays workers that join, leave, restart, crash and move between pages while pages are slow or fail.
 func TestChangesOfALongWorkerList(t *testing.T) {
-	for seed := range uint64(faultDays) {
+	for i := range *listSeeds {
+		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			eachListLength(t, seed, func(t *testing.T, w *World) {
 				is := is.NewRelaxed(t)
