A delivery that waits for a report is held, and does not run in a later view

Cause: a dispatcher that still reports a failed attempt keeps the next delivery of the message until the report is answered, then runs it without asking again whether its partition has a later view; and its Hello names the reported attempt only. The primary of a later view, or the same primary on a new connection, takes the waiting delivery for lost and delivers the message to another dispatcher; then both run.

Change: one rule at both ends. What waits is in the Hello, unless the table that the Hello is based on has a later view of the partition. When the report is answered the view is asked again, under the lock of the Hello; of a later view the delivery is dropped and reported as not run. So a delivery that is not in a Hello never runs after it, and the store may take it for lost.

--- a/internal/roles/dispatcher/stores/held.go
+++ b/internal/roles/dispatcher/stores/held.go
@@ -41,8 +41,10 @@
 }
 
 // activate makes conn the only connection on which deliveries of the store are accepted. It returns the held deliveries that came from the
-// store or belong to partitions of which it is the primary.
-func (s *heldSet) activate(conn *rpc.Conn, store string, now time.Time, isPrimary func(partition uint32) bool) []protocol.HeldDelivery {
+// store or belong to partitions of which it is the primary. A redelivery that waits is held as well, unless isOutdated reports that it is of an
+// earlier view than the Hello: it will not run then.
+func (s *heldSet) activate(conn *rpc.Conn, store string, now time.Time, isPrimary func(partition uint32) bool,
+	isOutdated func(m *protocol.Deliver) bool) []protocol.HeldDelivery {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for other, key := range s.conns {
@@ -56,6 +58,9 @@
 		if h.store == store || isPrimary(key.partition) {
 			h.confirmed = now
 			list = append(list, protocol.HeldDelivery{Partition: key.partition, ID: key.id, Attempt: h.attempt})
+			if waiting := h.redelivery; waiting != nil && !isOutdated(waiting) {
+				list = append(list, protocol.HeldDelivery{Partition: key.partition, ID: key.id, Attempt: waiting.Attempt})
+			}
 		}
 	}
 	slices.SortFunc(list, compareHeld)
@@ -126,18 +131,23 @@
 	return h.attempt
 }
 
-// reported records that the outcome is on disk. It returns the delivery of the message that arrived meanwhile, if any; otherwise the message
-// is no longer held.
-func (s *heldSet) reported(h *heldDelivery, now time.Time) *protocol.Deliver {
+// reported records that the outcome is on disk. next is the delivery of the message that arrived meanwhile; without one the message is no longer
+// held. One that isOutdated reports to be of an earlier view by now is returned as dropped instead: the primary of the later view does not know of
+// it, and may have made another delivery. isOutdated is called under the lock, because a Hello for the later view may have been written meanwhile.
+func (s *heldSet) reported(h *heldDelivery, now time.Time, isOutdated func(m *protocol.Deliver) bool) (next, dropped *protocol.Deliver) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	redelivery := h.redelivery
 	if redelivery == nil {
 		delete(s.deliveries, h.key)
-		return nil
+		return nil, nil
+	}
+	if isOutdated(redelivery) {
+		delete(s.deliveries, h.key)
+		return nil, redelivery
 	}
 	h.redelivery, h.finished, h.attempt, h.arrived, h.confirmed = nil, false, redelivery.Attempt, now, now
-	return redelivery
+	return redelivery, nil
 }
 
 // count returns the number of held deliveries.
--- a/internal/roles/dispatcher/stores/links.go
+++ b/internal/roles/dispatcher/stores/links.go
@@ -186,7 +186,7 @@
 	hello.Held = l.held.activate(conn, store.Key, l.options.Now(), func(partition uint32) bool {
 		p, ok := snapshot.Partition(partition)
 		return ok && (p.Primary == store.Member || p.Address == "") // a primary that is not yet in the node table may be this store
-	})
+	}, func(m *protocol.Deliver) bool { return isOutdated(snapshot, m) })
 	if err := conn.Notify(protocol.KindHello, hello.Append(nil)); err != nil {
 		return false
 	}
@@ -215,7 +215,11 @@
 
 // outdated reports whether the partition of a delivery has a later view.
 func (l *Links) outdated(m *protocol.Deliver) bool {
-	p, ok := l.options.Directory.Current().Partition(m.Partition)
+	return isOutdated(l.options.Directory.Current(), m)
+}
+
+func isOutdated(s *directory.Snapshot, m *protocol.Deliver) bool {
+	p, ok := s.Partition(m.Partition)
 	return ok && m.Epoch < p.Epoch
 }
 
@@ -242,12 +246,15 @@
 		if !l.report(&result) {
 			return
 		}
-		redelivery := l.held.reported(h, l.options.Now())
+		next, dropped := l.held.reported(h, l.options.Now(), l.outdated)
 		switch {
-		case redelivery == nil:
+		case dropped != nil:
+			l.reportOutdated(dropped)
+			return
+		case next == nil:
 			return
 		case !isFinal(r.Outcome):
-			l.run(h, redelivery)
+			l.run(h, next)
 			return
 		}
 		attempt = l.held.finish(h) // the outcome is final: a later delivery gets the same result without another run
@@ -296,7 +303,7 @@
 }
 
 func compareHeld(a, b protocol.HeldDelivery) int {
-	return cmp.Or(cmp.Compare(a.Partition, b.Partition), strings.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.Partition, b.Partition), strings.Compare(a.ID, b.ID), cmp.Compare(a.Attempt, b.Attempt))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/roles/dispatcher/stores/links_test.go
+++ b/internal/roles/dispatcher/stores/links_test.go
@@ -254,6 +254,51 @@
 	}
 }
 
+// holdRedelivery brings about a delivery that waits for the report of an earlier attempt of its message, and returns that report.
+func holdRedelivery(t *testing.T, r *harness, s *fakeStore, g receivedHello) receivedResult {
+	g.deliver(t, message("m", 1))
+	receive(t, r.runs).done(failed)
+	report := receive(t, s.results)
+	g.deliver(t, message("m", 2))
+	g.deliver(t, message("n", 1))
+	equal(t, receive(t, r.runs).message.ID, "n") // m has arrived
+	return report
+}
+
+// TestWaitingRedeliveryOfAnEarlierViewDoesNotRun guards against a message that runs at two dispatchers: the primary of a later view has delivered it
+// again when the report of the earlier attempt is answered.
+func TestWaitingRedeliveryOfAnEarlierViewDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	r, s := newHarness(t), newFakeStore(t)
+	r.publishTable(1, s)
+	report := holdRedelivery(t, r, s, s.helloForTable(t, 1))
+	r.publishTable(5, s)
+	held := s.helloForTable(t, 2).hello.Held
+	is.Equal(held, []protocol.HeldDelivery{{Partition: 0, ID: "m", Attempt: 1}, {Partition: 0, ID: "n", Attempt: 1}}) // the redelivery will not run
+	report.reply(nil, nil)
+	dropped := receive(t, s.results)
+	is.Equal(dropped.result.ID, "m")
+	is.Equal(dropped.result.Attempt, uint32(2))
+	is.Equal(dropped.result.Outcome, protocol.OutcomeNotRun)
+	dropped.reply(nil, nil)
+	is.Equal(len(r.runs), 0)
+	is.Equal(r.links.Held(), 1) // n
+}
+
+// TestWaitingRedeliveryIsListedAsHeld guards against a message that runs at two dispatchers: a store that gets a Hello without the delivery takes it
+// for lost.
+func TestWaitingRedeliveryIsListedAsHeld(t *testing.T) {
+	is := is.New(t)
+	r, s := newHarness(t), newFakeStore(t)
+	r.publishTable(1, s)
+	report := holdRedelivery(t, r, s, s.helloForTable(t, 1))
+	r.publishTable(1, s) // causes a new Hello
+	held := s.helloForTable(t, 2).hello.Held
+	is.Equal(held, []protocol.HeldDelivery{{Partition: 0, ID: "m", Attempt: 1}, {Partition: 0, ID: "m", Attempt: 2}, {Partition: 0, ID: "n", Attempt: 1}})
+	report.reply(nil, nil)
+	is.Equal(receive(t, r.runs).message.Attempt, uint32(2))
+}
+
 func TestPauseFollowsEachHello(t *testing.T) {
 	r, s := newHarness(t), newFakeStore(t)
 	r.publishTable(1, s)
