--- a/sim/system/slowreports_test.go
+++ b/sim/system/slowreports_test.go
@@ -19,6 +19,7 @@
 	route := Route{Name: "r-failing", PathPrefix: "/failing/", Backend: failing.Name, MaxAttempts: 6}
 	for seed := range uint64(faultDays) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			play(t, Options{Seed: seed, Stores: 4, Disk: virtualdisk.Options{Sync: slowReport}}, func(t *testing.T, w *World) {
 				is := is.NewRelaxed(t)
 				is.NoErr(w.Platform.Add(failing))
--- a/sim/system/workerlist_test.go
+++ b/sim/system/workerlist_test.go
@@ -72,6 +72,7 @@
 	for i := range *listSeeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			eachListLength(t, seed, func(t *testing.T, w *World) {
 				is := is.NewRelaxed(t)
 				random := rand.New(rand.NewPCG(seed, 0x6c697374))
