--- a/lab/systemdemo/fakeplatform.go
+++ b/lab/systemdemo/fakeplatform.go
@@ -28,7 +28,7 @@
 // fakePlatform serves the platform's worker list and the workers, which record the messages that they run.
 type fakePlatform struct {
 	list        *instancelist.List
-	listServer  *http.Server
+	listServer  *endpoint
 	listAddress string
 
 	mutex   sync.Mutex
@@ -41,7 +41,7 @@
 type fakeWorker struct {
 	id, address, zone string
 	starts            int
-	server            *http.Server
+	server            *endpoint
 	drainingSince     time.Time // zero while it is ready
 }
 
@@ -58,12 +58,13 @@
 		p.workers = append(p.workers, w)
 		p.list.Append(w.entry())
 	}
-	var err error
-	p.listServer, p.listAddress, err = serve("127.0.0.1:0", p.list)
+	server, err := serve("127.0.0.1:0", p.list)
 	if err != nil {
 		p.close()
+		return nil, err
 	}
-	return p, err
+	p.listServer, p.listAddress = server, server.address()
+	return p, nil
 }
 
 // start starts a worker as a new incarnation, at its address if it has had one.
@@ -77,11 +78,11 @@
 	w.id, w.drainingSince = fmt.Sprintf("worker-%d.%d", number, w.starts), time.Time{}
 	id := w.id
 	p.mutex.Unlock()
-	server, address, err := serve(address, p.handler(w, id))
+	server, err := serve(address, p.handler(w, id))
 	if err != nil {
 		return err
 	}
-	w.server, w.address = server, address
+	w.server, w.address = server, server.address()
 	return nil
 }
 
@@ -102,7 +103,7 @@
 // stop ends a worker, which stays on the list, and returns its ID.
 func (p *fakePlatform) stop(number int) (id string) {
 	w := p.workers[number]
-	_ = w.server.Close()
+	w.server.close()
 	return w.id
 }
 
@@ -119,23 +120,37 @@
 	return nil
 }
 
+// endpoint is an HTTP server with its listener.
+type endpoint struct {
+	server   *http.Server
+	listener net.Listener
+}
+
 // serve starts an HTTP server on a loopback address.
-func serve(address string, h http.Handler) (*http.Server, string, error) {
+func serve(address string, h http.Handler) (*endpoint, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, "", errors.Wrap(err, "listen for the fake platform")
+		return nil, errors.Wrap(err, "listen for the fake platform")
 	}
-	server := &http.Server{Handler: h}
-	go func() { _ = server.Serve(listener) }()
-	return server, listener.Addr().String(), nil
+	e := &endpoint{server: &http.Server{Handler: h}, listener: listener}
+	go func() { _ = e.server.Serve(listener) }() // ends with ErrServerClosed or the listener's error
+	return e, nil
+}
+
+func (e *endpoint) address() string { return e.listener.Addr().String() }
+
+// close frees the address at once, also if the server has not begun to accept, and closes all connections.
+func (e *endpoint) close() {
+	_ = e.listener.Close()
+	_ = e.server.Close()
 }
 
 func (p *fakePlatform) close() {
 	for _, w := range p.workers {
-		_ = w.server.Close()
+		w.server.close()
 	}
 	if p.listServer != nil {
-		_ = p.listServer.Close()
+		p.listServer.close()
 	}
 }
 
