workerlist: superseded workers in a file of their own

Cause: reader.go and its tests had grown by a second concern, the incarnations at one address.

Measured: the tests of workerlist and lab/mutants passed.

--- a/lab/mutants/workerlist.go
+++ b/lab/mutants/workerlist.go
@@ -8,7 +8,7 @@
 		Package: "./internal/roles/control",
 	},
 	{
-		Promise: "a former incarnation does not displace the worker at its address", File: "workerlist/reader.go",
+		Promise: "a former incarnation does not displace the worker at its address", File: "workerlist/superseded.go",
 		Old: "owners := r.newOwners(page); len(owners) > 0 {", New: "owners := r.newOwners(page); len(owners) < 0 {",
 		Package: "./workerlist",
 	},
