Stores log what they presume lost, and takeovers without all Hellos

The hypotheses (a Hello by a newer table, a takeover by its deadline, an unknown dispatcher, an end with unreported results) could not be told apart from the logs. A store now logs, in a line for each dispatcher and cause, the deliveries that it presumes lost; a takeover by its deadline with the dispatchers that are missing; and a success that arrives while the message is at another dispatcher again. No decision changes.

--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -258,11 +258,22 @@
 		return false
 	}
 	if !p.hellosComplete {
-		p.hellosComplete = now >= p.helloDeadline || p.store.allHellosReceived(p.tableVersion)
+		p.hellosComplete = p.store.allHellosReceived(p.tableVersion)
+		if !p.hellosComplete && now >= p.helloDeadline {
+			p.hellosComplete = true
+			p.logMissingHellos()
+		}
 	}
 	return p.hellosComplete
 }
 
+// logMissingHellos logs the dispatchers that have not listed their deliveries in time: what they hold may run twice.
+func (p *partition) logMissingHellos() {
+	p.store.logger.Warn("a partition is delivered before all dispatchers have listed what they hold",
+		zap.Uint32("partition", p.number), zap.Uint64("epoch", p.view.Epoch), zap.Bool("planned", p.plannedTakeover),
+		zap.Strings("missing", p.store.missingHellos(p.tableVersion)))
+}
+
 // write replicates records; writes complete in the order in which they were started.
 func (p *partition) write(records []replication.Record, done func(error)) {
 	p.writeStarts = append(p.writeStarts, p.store.now())
--- a/internal/roles/store/result.go
+++ b/internal/roles/store/result.go
@@ -52,6 +52,10 @@
 		return
 	}
 	t := s.queue.Outcome(s.now(), m.Partition, m.ID, m.Attempt, outcome, m.RetryAfter)
+	if t.DeliveredAgain {
+		s.logger.Warn("a worker succeeded with a message that was delivered again meanwhile: it may run twice", zap.String("id", m.ID),
+			zap.Uint32("attempt", m.Attempt), zap.String("dispatcher", m.Dispatcher), zap.Duration("held", m.Elapsed))
+	}
 	switch t.Action {
 	case queue.Ignore, queue.Unknown:
 		reply(nil, nil) // nothing to write: counted before, ended, or delivered again
--- a/internal/roles/store/run.go
+++ b/internal/roles/store/run.go
@@ -88,7 +88,7 @@
 		partitions: map[uint32]*partition{}, peers: map[string]*peer{}, sessions: map[string]*session{},
 		bodies: newBodyCache(bodyCacheBytes), shutdown: shutdown{done: make(chan struct{})}, afterStep: o.afterStep,
 	}
-	s.queue = queue.New(queue.Options{Match: s.matchRoute, Zone: o.settings.Zone})
+	s.queue = queue.New(queue.Options{Match: s.matchRoute, Zone: o.settings.Zone, PresumedLost: s.losses.add})
 	s.agent, err = agent.Start(agent.Options{
 		Settings: o.settings, Role: protocol.RoleStore, Member: member, Logger: o.logger, ListenAddress: o.listenAddress,
 		Handle: s.handle, Report: s.report.fill, OnClose: s.handleClose, Storage: log, Clocks: o.environment.Clocks,
--- a/internal/roles/store/session.go
+++ b/internal/roles/store/session.go
@@ -144,14 +144,30 @@
 // allHellosReceived reports whether every live dispatcher has sent a Hello that is based on a partition table at least as new as version.
 func (s *store) allHellosReceived(version protocol.ItemVersion) bool {
 	for node := range s.view.Each(protocol.RoleDispatcher) {
-		sess := s.sessions[sessionName(node.Key, node.Incarnation)]
-		if sess == nil || sess.tableVersion.Less(version) {
+		if !s.helloReceived(node, version) {
 			return false
 		}
 	}
 	return true
 }
 
+// missingHellos returns the names of the dispatchers for which allHellosReceived still waits.
+func (s *store) missingHellos(version protocol.ItemVersion) []string {
+	var missing []string
+	for node := range s.view.Each(protocol.RoleDispatcher) {
+		if !s.helloReceived(node, version) {
+			missing = append(missing, sessionName(node.Key, node.Incarnation))
+		}
+	}
+	return missing
+}
+
+// helloReceived reports whether a dispatcher has sent a Hello that is based on a partition table at least as new as version.
+func (s *store) helloReceived(node *protocol.Node, version protocol.ItemVersion) bool {
+	sess := s.sessions[sessionName(node.Key, node.Incarnation)]
+	return sess != nil && !sess.tableVersion.Less(version)
+}
+
 // markHeld marks the deliveries of a partition as held that dispatchers listed in their last Hello.
 func (s *store) markHeld(now time.Duration, partition uint32) {
 	for _, sess := range s.sessions {
--- a/internal/roles/store/store.go
+++ b/internal/roles/store/store.go
@@ -57,6 +57,7 @@
 
 	report   report
 	shutdown shutdown
+	losses   lossLog
 
 	afterStep func()
 }
@@ -133,7 +134,9 @@
 		s.updateWindows()
 	}
 	s.writeEnds(now)
-	if s.sendDeliveries() {
+	more := s.sendDeliveries()
+	s.losses.write(s.logger)
+	if more {
 		return now
 	}
 	return min(s.nextWake, s.queue.NextWake(), s.nextTick)
--- a/queue/advance.go
+++ b/queue/advance.go
@@ -13,7 +13,7 @@
 // or the configuration. The owner writes each end and calls ConfirmEnd.
 func (q *Queue) Advance(now time.Duration) []Transition {
 	for q.deadlines.len() > 0 && q.deadlines.top().deadline <= now {
-		q.presumeLost(now, q.deadlines.top())
+		q.presumeOverdue(now, q.deadlines.top())
 	}
 	for q.expiry.len() > 0 && q.expiry.top().expires <= now {
 		if m := q.expiry.pop(); !m.inFlight() { // otherwise its outcome decides
@@ -31,6 +31,15 @@
 	return ended
 }
 
+// presumeOverdue presumes a delivery lost whose deadline has passed.
+func (q *Queue) presumeOverdue(now time.Duration, delivery *pendingDelivery) {
+	cause := LostOverdue
+	if !delivery.dispatcher.open {
+		cause = LostDisconnected
+	}
+	q.presumeLost(now, delivery, cause)
+}
+
 // NextWake returns when Advance must be called next: Never if nothing is pending, and 0 if ends wait to be reported. Call it after Next
 // has returned false.
 func (q *Queue) NextWake() time.Duration {
--- a/queue/delivery.go
+++ b/queue/delivery.go
@@ -104,9 +104,15 @@
 }
 
 // presumeLost treats a delivery as lost. Its outcome still counts if it arrives.
-func (q *Queue) presumeLost(now time.Duration, delivery *pendingDelivery) {
-	q.release(delivery)
+func (q *Queue) presumeLost(now time.Duration, delivery *pendingDelivery, cause LossCause) {
 	m := delivery.message
+	if q.options.PresumedLost != nil {
+		q.options.PresumedLost(LostDelivery{
+			Partition: m.partition.number, ID: m.id, Attempt: delivery.attempt, Dispatcher: delivery.dispatcher.name, Cause: cause,
+			Age: now - delivery.dispatchedAt, Foreign: delivery.epoch == 0,
+		})
+	}
+	q.release(delivery)
 	if len(m.pending) > maxPending && m.pending[0].released {
 		m.removePending(m.pending[0])
 	}
--- a/queue/dispatcher.go
+++ b/queue/dispatcher.go
@@ -47,7 +47,7 @@
 	for _, delivery := range d.sortedPending() {
 		if !listed[HeldDelivery{delivery.message.partition.number, delivery.message.id, delivery.attempt}] {
 			delivery.message.removePending(delivery)
-			q.presumeLost(now, delivery)
+			q.presumeLost(now, delivery, LostUnlisted)
 		}
 	}
 	for _, h := range held {
@@ -123,7 +123,7 @@
 		m := delivery.message
 		if m.partition.number == partition && delivery.epoch < epoch && !slices.Contains(held, HeldDelivery{partition, m.id, delivery.attempt}) {
 			m.removePending(delivery)
-			q.presumeLost(now, delivery)
+			q.presumeLost(now, delivery, LostUnlistedInEpoch)
 		}
 	}
 }
@@ -138,7 +138,7 @@
 	q.closeDispatcher(d)
 	for _, delivery := range d.sortedPending() {
 		if ended {
-			q.presumeLost(now, delivery)
+			q.presumeLost(now, delivery, LostProcessEnded)
 			continue
 		}
 		q.setDeadline(delivery, delivery.dispatchedAt+disconnectedSlack)
--- a/queue/message.go
+++ b/queue/message.go
@@ -66,6 +66,13 @@
 	return slices.ContainsFunc(m.pending, func(delivery *pendingDelivery) bool { return !delivery.released })
 }
 
+// inFlightBeside reports whether the message is at a dispatcher in another delivery than the given one.
+func (m *message) inFlightBeside(attempt uint32) bool {
+	return slices.ContainsFunc(m.pending, func(delivery *pendingDelivery) bool {
+		return !delivery.released && delivery.attempt != attempt
+	})
+}
+
 func (m *message) findPending(attempt uint32) *pendingDelivery {
 	for _, delivery := range m.pending {
 		if delivery.attempt == attempt {
--- a/queue/outcome.go
+++ b/queue/outcome.go
@@ -27,7 +27,10 @@
 	q.updateReachability(now, m, delivery, o)
 	switch o {
 	case Succeeded:
-		return q.finish(m, Done)
+		again := m.inFlightBeside(attempt)
+		t := q.finish(m, Done)
+		t.DeliveredAgain = again
+		return t
 	case Refused, NoRoute:
 		return q.finish(m, DeadLetter)
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -15,6 +15,8 @@
 	Revision Revision
 	// Zone is the zone of the store; dispatchers of the same zone are preferred.
 	Zone string
+	// PresumedLost is called for each delivery that is presumed lost, before its message is delivered again; nil for no calls.
+	PresumedLost func(LostDelivery)
 }
 
 // Queue holds the messages of the partitions that a store is primary of. It is not safe for concurrent use.
--- a/queue/types.go
+++ b/queue/types.go
@@ -96,6 +96,8 @@
 	ID        string
 	State     State
 	Attempts  int
+	// DeliveredAgain says that a worker has succeeded while the message is at a dispatcher in another delivery: it may run again.
+	DeliveredAgain bool
 }
 
 // Window bounds the deliveries in flight for a service.
