A Hello by a newer table is reviewed once its store has that table

Cause: a Hello lists the deliveries of its store and those of partitions that the store leads by the dispatcher's table. Tables spread by gossip, so a dispatcher often knows the next table first. A store that led by the table before took what such a Hello did not list for lost, and delivered the message elsewhere while it ran: on the same connection, on a new one, and before its takeover. It asked only whether the Hello's table was not older. The class: a list that is complete by one version of shared state, read as complete by another.

Change: what a Hello does not list counts for a partition only if this store is its primary by a table from that of the present view up to the installed one. A newer one is reviewed when that table is installed. The lists that are complete are kept for each partition until the takeover, so that a later Hello does not hide them. On a new connection only the store's own deliveries that are missing are requeued.

--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -41,6 +41,10 @@
 	tableVersion protocol.ItemVersion   // of the table that contained view
 	links        map[string]*rpc.Conn   // connections by member that the replica was notified of
 
+	// listed holds, by session, all deliveries that the dispatcher held according to its last Hello that listed them all. It is filled from the
+	// arrival of the view until hellosComplete.
+	listed map[string][]queue.HeldDelivery
+
 	dropping        bool
 	plannedTakeover bool // the previous primary is a member of the view or has a session
 
@@ -50,7 +54,7 @@
 	epoch          uint64
 	earlierLeases  []earlierLease // granted to the previous primary, as far as they may be valid
 	helloDeadline  time.Duration  // the primary stops waiting for dispatchers at this time
-	hellosComplete bool           // all dispatchers have sent their Hello, or the deadline has passed
+	hellosComplete bool           // all dispatchers have listed what they hold, or the deadline has passed
 	sequence       uint64
 	offers         []string // learners that are in sync in the epoch of the view
 	pending        map[string]*pendingAccept
@@ -65,7 +69,7 @@
 func groupOf(partition uint32) uint32 { return groupBase + partition }
 
 func (s *store) newPartition(number uint32) (*partition, error) {
-	p := &partition{store: s, number: number, links: map[string]*rpc.Conn{}}
+	p := &partition{store: s, number: number, links: map[string]*rpc.Conn{}, listed: map[string][]queue.HeldDelivery{}}
 	replica, err := replication.NewReplica(replication.ReplicaOptions{
 		Group: groupOf(number), Self: s.member, Copies: s.settings.Copies(), Storage: s.storage, Post: s.loop.post,
 		Send: p.send, Events: p,
@@ -87,16 +91,6 @@
 	return helloTimeout
 }
 
-// continueLeading keeps this store primary in a later epoch. Dispatchers that have received the epoch drop deliveries of earlier ones,
-// which are requeued here.
-func (p *partition) continueLeading(now time.Duration) {
-	s := p.store
-	s.queue.SetEpoch(p.number, p.view.Epoch)
-	for _, sess := range s.sessions {
-		s.requeueUnlisted(now, sess, p)
-	}
-}
-
 func (p *partition) clearMessages() {
 	p.pending = map[string]*pendingAccept{}
 	p.endings = map[string]*ending{}
@@ -133,7 +127,7 @@
 	now := s.now()
 	p.leading = true
 	s.queue.SetEpoch(p.number, p.epoch)
-	p.helloDeadline, p.hellosComplete = now+p.helloTimeout(), false
+	p.helloDeadline = now + p.helloTimeout()
 	if err := p.rebuild(now); err != nil {
 		s.logger.Error("records of a partition cannot be read; this store does not serve it",
 			zap.Uint32("partition", p.number), zap.Error(err))
@@ -141,7 +135,7 @@
 		p.leading = false
 		return
 	}
-	s.markHeld(now, p.number)
+	s.markHeld(now, p)
 	s.logger.Info("became primary of a partition", zap.Uint32("partition", p.number), zap.Uint64("epoch", p.epoch),
 		zap.Int("messages", s.queue.Len(p.number)), zap.Time("cluster_time", s.agent.ClusterTime()),
 		zap.Bool("synchronized", s.agent.Synchronized()))
@@ -151,6 +145,7 @@
 func (p *partition) Deposed(epoch uint64) {
 	p.leading, p.awaitsTime, p.blockedSince = false, false, 0
 	p.offers = nil
+	p.restartHellos()
 	p.store.queue.Drop(p.number)
 	p.store.bodies.drop(p.number)
 	p.refuseEndings()
@@ -258,20 +253,33 @@
 		return false
 	}
 	if !p.hellosComplete {
-		p.hellosComplete = p.store.allHellosReceived(p.tableVersion)
-		if !p.hellosComplete && now >= p.helloDeadline {
-			p.hellosComplete = true
-			p.logMissingHellos()
-		}
+		p.awaitHellos(now)
 	}
 	return p.hellosComplete
 }
 
+// awaitHellos checks whether all dispatchers have listed what they hold, or the time for that is over.
+func (p *partition) awaitHellos(now time.Duration) {
+	switch {
+	case p.store.allListed(p):
+	case now >= p.helloDeadline:
+		p.logMissingHellos()
+	default:
+		return
+	}
+	p.hellosComplete, p.listed = true, nil
+}
+
+// restartHellos makes this store, if it is the next primary, wait until all dispatchers have listed what they hold.
+func (p *partition) restartHellos() {
+	p.hellosComplete, p.listed = false, map[string][]queue.HeldDelivery{}
+}
+
 // logMissingHellos logs the dispatchers that have not listed their deliveries in time: what they hold may run twice.
 func (p *partition) logMissingHellos() {
 	p.store.logger.Warn("a partition is delivered before all dispatchers have listed what they hold",
 		zap.Uint32("partition", p.number), zap.Uint64("epoch", p.view.Epoch), zap.Bool("planned", p.plannedTakeover),
-		zap.Strings("missing", p.store.missingHellos(p.tableVersion)))
+		zap.Strings("missing", p.store.unlisted(p)))
 }
 
 // write replicates records; writes complete in the order in which they were started.
--- a/internal/roles/store/session.go
+++ b/internal/roles/store/session.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,8 +16,8 @@
 	name         string // the dispatcher's name in the queue
 	key          string // key of the node
 	incarnation  uint64
-	conn         *rpc.Conn // nil while it is not connected
-	tableVersion protocol.ItemVersion
+	conn         *rpc.Conn            // nil while it is not connected
+	tableVersion protocol.ItemVersion // of the partition table that the last Hello was based on
 	held         []queue.HeldDelivery // according to the last Hello
 	listed       bool                 // the node table has contained this incarnation
 }
@@ -45,15 +46,11 @@
 			s.queue.MarkHeld(now, h.Partition, h.ID, h.Attempt, name)
 		}
 		s.queue.Resume(name, m.Zone)
-		if s.queue.HasInFlight(name) {
-			for _, p := range s.sortedPartitions() {
-				s.requeueUnlisted(now, sess, p)
-			}
-		}
 	} else {
 		s.attachConnection(c, sess, m.Zone)
 		s.reconcileSessions(now, s.view)
 	}
+	s.reviewHello(now, sess)
 	s.queue.SetSlots(name, slotsByService(m.Windows))
 }
 
@@ -78,13 +75,48 @@
 	return list
 }
 
-// requeueUnlisted requeues the deliveries of a partition that the dispatcher does not hold, if its Hello was based on the present epoch.
-func (s *store) requeueUnlisted(now time.Duration, sess *session, p *partition) {
-	if p.leading && p.view.Primary == s.member && !sess.tableVersion.Less(p.tableVersion) {
-		s.queue.RequeueUnlisted(now, sess.name, p.number, p.view.Epoch, sess.held)
+// listsCompletely reports whether the last Hello of a session lists all deliveries of a partition that its dispatcher holds. That is so if this store
+// is the primary by the table of the Hello, which is known for the tables from the one that contained the present view up to the installed one.
+func (s *store) listsCompletely(sess *session, p *partition) bool {
+	return p.view.Primary == s.member && !sess.tableVersion.Less(p.tableVersion) && !s.tableVersion.Less(sess.tableVersion)
+}
+
+// reviewHello applies what the last Hello of a session shows by not listing it: deliveries of earlier epochs that the dispatcher does not hold are
+// requeued, and a new primary need not wait for this dispatcher any more.
+func (s *store) reviewHello(now time.Duration, sess *session) {
+	holdsAny := s.queue.HasInFlight(sess.name)
+	for _, p := range s.sortedPartitions() {
+		if !s.listsCompletely(sess, p) {
+			continue
+		}
+		if !p.hellosComplete {
+			p.listed[sess.name] = heldOfPartition(sess.held, p.number)
+		}
+		if p.leading && holdsAny {
+			s.queue.RequeueUnlisted(now, sess.name, p.number, p.view.Epoch, sess.held)
+		}
 	}
 }
 
+// reviewHellos reviews the Hellos that were based on a newer table than the one installed before, and on none newer than the present one.
+func (s *store) reviewHellos(now time.Duration, before protocol.ItemVersion) {
+	for _, sess := range s.sessions {
+		if before.Less(sess.tableVersion) && !s.tableVersion.Less(sess.tableVersion) {
+			s.reviewHello(now, sess)
+		}
+	}
+}
+
+func heldOfPartition(held []queue.HeldDelivery, partition uint32) []queue.HeldDelivery {
+	var list []queue.HeldDelivery
+	for _, h := range held {
+		if h.Partition == partition {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 func slotsByService(windows []protocol.ServiceWindow) map[string]int {
 	if len(windows) == 0 {
 		return nil
@@ -141,40 +173,34 @@
 	}
 }
 
-// allHellosReceived reports whether every live dispatcher has sent a Hello that is based on a partition table at least as new as version.
-func (s *store) allHellosReceived(version protocol.ItemVersion) bool {
+// allListed reports whether every live dispatcher has listed all deliveries of the partition that it holds.
+func (s *store) allListed(p *partition) bool {
 	for node := range s.view.Each(protocol.RoleDispatcher) {
-		if !s.helloReceived(node, version) {
+		if _, listed := p.listed[sessionName(node.Key, node.Incarnation)]; !listed {
 			return false
 		}
 	}
 	return true
 }
 
-// missingHellos returns the names of the dispatchers for which allHellosReceived still waits.
-func (s *store) missingHellos(version protocol.ItemVersion) []string {
-	var missing []string
+// unlisted returns the names of the dispatchers for which allListed still waits.
+func (s *store) unlisted(p *partition) []string {
+	var names []string
 	for node := range s.view.Each(protocol.RoleDispatcher) {
-		if !s.helloReceived(node, version) {
-			missing = append(missing, sessionName(node.Key, node.Incarnation))
+		name := sessionName(node.Key, node.Incarnation)
+		if _, listed := p.listed[name]; !listed {
+			names = append(names, name)
 		}
 	}
-	return missing
+	return names
 }
 
-// helloReceived reports whether a dispatcher has sent a Hello that is based on a partition table at least as new as version.
-func (s *store) helloReceived(node *protocol.Node, version protocol.ItemVersion) bool {
-	sess := s.sessions[sessionName(node.Key, node.Incarnation)]
-	return sess != nil && !sess.tableVersion.Less(version)
-}
-
-// markHeld marks the deliveries of a partition as held that dispatchers listed in their last Hello.
-func (s *store) markHeld(now time.Duration, partition uint32) {
+// markHeld marks the deliveries of a partition as held that dispatchers listed in their last Hello, or in the last one that listed them all.
+func (s *store) markHeld(now time.Duration, p *partition) {
 	for _, sess := range s.sessions {
-		for _, h := range sess.held {
-			if h.Partition == partition {
-				s.queue.MarkHeld(now, h.Partition, h.ID, h.Attempt, sess.name)
-			}
+		lists := slices.Concat(heldOfPartition(sess.held, p.number), p.listed[sess.name])
+		for _, h := range lists {
+			s.queue.MarkHeld(now, h.Partition, h.ID, h.Attempt, sess.name)
 		}
 	}
 }
--- a/internal/roles/store/table.go
+++ b/internal/roles/store/table.go
@@ -17,9 +17,9 @@
 	if !s.tableVersion.Less(version) {
 		return
 	}
-	first := s.tableVersion == (protocol.ItemVersion{})
+	before := s.tableVersion
 	s.tableVersion = version
-	if first {
+	if before == (protocol.ItemVersion{}) {
 		s.grants.fenceAll(version)
 	}
 	successors, changed := map[string]bool{}, map[string]bool{}
@@ -34,6 +34,7 @@
 		}
 		s.installView(v, version)
 	}
+	s.reviewHellos(s.now(), before)
 	s.notifyPrimaries(view, changed)
 	s.syncPeers()
 	for member := range successors {
@@ -87,11 +88,14 @@
 		s.fenceEarlierPrimary(p, v, version)
 		p.view, p.tableVersion = *v, version
 		p.offers, p.blockedSince = nil, 0
+		if !p.hellosComplete || v.Primary != s.member {
+			p.restartHellos()
+		}
 		p.replica.Install(replication.View{
 			Epoch: v.Epoch, Primary: v.Primary, Members: v.Members, Learners: v.Learners, Sources: v.Sources,
 		})
 		if p.leading && v.Primary == s.member {
-			p.continueLeading(s.now())
+			s.queue.SetEpoch(p.number, v.Epoch)
 		}
 	}
 	if !included && v.Epoch >= p.view.Epoch {
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -38,6 +38,16 @@
 		Old: "return p.hellosComplete\n", New: "return true\n",
 		Package: "./internal/roles/store",
 	},
+	{
+		Promise: "a Hello by a newer table shows nothing by what it does not list", File: "internal/roles/store/session.go",
+		Old: "!sess.tableVersion.Less(p.tableVersion) && !s.tableVersion.Less(sess.tableVersion)", New: "!sess.tableVersion.Less(p.tableVersion)",
+		Package: "./internal/roles/store",
+	},
+	{
+		Promise: "a new connection shows nothing of other stores' deliveries", File: "queue/dispatcher.go",
+		Old: "case delivery.foreign:", New: "case false:",
+		Package: "./internal/roles/store",
+	},
 	{
 		Promise: "a primary acts only by its leases", File: "internal/roles/store/partition.go",
 		Old: "return p.leading && p.earlierLeasesUntil(now) == 0 && p.leasesUntil() > now", New: "return p.leading",
--- a/queue/delivery.go
+++ b/queue/delivery.go
@@ -109,7 +109,7 @@
 	if q.options.PresumedLost != nil {
 		q.options.PresumedLost(LostDelivery{
 			Partition: m.partition.number, ID: m.id, Attempt: delivery.attempt, Dispatcher: delivery.dispatcher.name, Cause: cause,
-			Age: now - delivery.dispatchedAt, Foreign: delivery.epoch == 0,
+			Age: now - delivery.dispatchedAt, Foreign: delivery.foreign,
 		})
 	}
 	q.release(delivery)
--- a/queue/dispatcher.go
+++ b/queue/dispatcher.go
@@ -36,8 +36,9 @@
 	return slices.SortedFunc(maps.Keys(d.pending), func(a, b *pendingDelivery) int { return cmp.Compare(a.order, b.order) })
 }
 
-// Hello opens a dispatcher on a new connection. held lists all deliveries that the dispatcher holds and whose outcome has not been
-// acknowledged to it: an earlier delivery that is not listed never arrived, so its message is delivered again at once.
+// Hello opens a dispatcher on a new connection. held lists all deliveries of this store that the dispatcher holds and whose outcome has not been
+// acknowledged to it: an earlier one that is not listed never arrived, so its message is delivered again at once. What is not listed of other stores'
+// deliveries shows nothing here: see RequeueUnlisted.
 func (q *Queue) Hello(now time.Duration, name, zone string, held []HeldDelivery) {
 	d := q.dispatcher(name)
 	listed := make(map[HeldDelivery]bool, len(held))
@@ -45,7 +46,11 @@
 		listed[h] = true
 	}
 	for _, delivery := range d.sortedPending() {
-		if !listed[HeldDelivery{delivery.message.partition.number, delivery.message.id, delivery.attempt}] {
+		switch {
+		case listed[HeldDelivery{delivery.message.partition.number, delivery.message.id, delivery.attempt}]:
+		case delivery.foreign:
+			q.setDeadline(delivery, now+connectedSlack)
+		default:
 			delivery.message.removePending(delivery)
 			q.presumeLost(now, delivery, LostUnlisted)
 		}
@@ -93,7 +98,7 @@
 	m.lastAttempt = max(m.lastAttempt, attempt)
 	delivery := m.findPending(attempt)
 	if delivery == nil {
-		q.addPending(now, m, attempt, q.dispatcher(name))
+		q.addPending(now, m, attempt, q.dispatcher(name)).foreign = true
 		return
 	}
 	if delivery.released && !m.inFlight() {
@@ -112,8 +117,9 @@
 }
 
 // RequeueUnlisted requeues the messages of a partition whose deliveries a dispatcher does not list as held, if they were made in a lower
-// epoch. The dispatcher has received the given epoch of the partition and drops deliveries of lower epochs that arrive later. A delivery
-// of another store that it once held and does not list has ended there.
+// epoch. held must list all deliveries of the partition that it holds, whichever store made them. The dispatcher has received the given
+// epoch of the partition and drops deliveries of lower epochs that arrive later. A delivery of another store that it once held and does
+// not list has ended there.
 func (q *Queue) RequeueUnlisted(now time.Duration, name string, partition uint32, epoch uint64, held []HeldDelivery) {
 	d := q.dispatchers[name]
 	if d == nil {
--- a/queue/message.go
+++ b/queue/message.go
@@ -45,7 +45,8 @@
 	dispatcher    *dispatcher
 	service       *service
 	dispatchedAt  time.Duration
-	epoch         uint64 // of the partition at the time of the delivery; 0 if another store made it
+	epoch         uint64 // of the partition at the time of the delivery; 0 if it is foreign
+	foreign       bool   // made by another store
 	order         uint64 // number among all deliveries, for a deterministic order
 	deadline      time.Duration
 	deadlineIndex int
