A new primary waits for connected dispatchers that its node table lacks

The node table and the partition table spread independently, and a store opens a dispatcher's session whether or not its node table has it. So the last primary may have delivered to a dispatcher that the next one does not find in its table yet (it has just started), or no more (its session expired, its process lives). The next primary did not wait for what it holds, and delivered it again.

TestNewPrimaryWaitsForConnectedDispatcherThatIsNotInItsNodeTable fails without the change. A takeover now also waits, within its deadline, for connected sessions whose process is not known to have ended.

--- a/internal/roles/store/fake_test.go
+++ b/internal/roles/store/fake_test.go
@@ -274,12 +274,19 @@
 	}
 }
 
+// startDispatcher returns a dispatcher that is in the node table.
 func startDispatcher(t *testing.T, c *fakeControl, name string) *fakeDispatcher {
+	d := newDispatcher(t, name)
+	c.addNode(d.node)
+	return d
+}
+
+// newDispatcher returns a dispatcher that is not in the node table.
+func newDispatcher(t *testing.T, name string) *fakeDispatcher {
 	d := &fakeDispatcher{t: t, conns: map[string]*rpc.Conn{}, deliveries: make(chan protocol.Deliver, 1000)}
 	d.node = protocol.Node{
 		Key: protocol.NodeKey(name, protocol.RoleDispatcher), Name: name, Role: protocol.RoleDispatcher, Incarnation: 77, Zone: "a",
 	}
-	c.addNode(d.node)
 	t.Cleanup(func() {
 		for _, conn := range d.conns {
 			conn.Close()
--- a/internal/roles/store/hello_test.go
+++ b/internal/roles/store/hello_test.go
@@ -104,3 +104,68 @@
 	is.Equal(again.ID, m1.ID)
 	is.Equal(again.Epoch, uint64(2))
 }
+
+// TestNewPrimaryWaitsForConnectedDispatcherThatIsNotInItsNodeTable guards against a message that runs twice: the node table and the partition table spread
+// independently, so that a dispatcher may have deliveries of the last primary before the next one finds it in its table.
+func TestNewPrimaryWaitsForConnectedDispatcherThatIsNotInItsNodeTable(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 2)
+	first, second, d := c.stores[0], c.stores[1], c.dispatcher
+	unknown := newDispatcher(t, "edge-2")
+	before := protocol.ItemVersion{Term: 1, Number: 1}
+	unknown.hello(first, before)
+	unknown.hello(second, before)
+	unknown.awaitHello(first, before)
+	unknown.awaitHello(second, before)
+	is.NoErr(d.conn(first).Notify(protocol.KindPause, nil))
+	is.Equal(d.accept(first, message("m1", "plain", "")), protocol.AcceptStored)
+	m1 := unknown.next()
+	table := c.view(1, 0)
+	second.await(func(s *store) bool {
+		p := s.partitions[0]
+		p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
+		return p.leading && p.mayAct(s.now())
+	})
+	d.hello(second, table)
+	d.awaitHello(second, table)
+	var delivers bool
+	second.on(func(s *store) { delivers = s.partitions[0].mayDeliver(s.now()) })
+	is.True(!delivers)
+	unknown.hello(second, table, held(&m1))
+	second.await(func(s *store) bool { return s.partitions[0].hellosComplete })
+	is.NoErr(unknown.result(second, &m1, protocol.OutcomeSucceeded))
+	is.Equal(len(d.deliveries)+len(unknown.deliveries), 0)
+}
+
+// TestNewPrimaryDoesNotWaitForEndedDispatchers guards against a takeover that waits for a process that is gone: one whose connection is closed, and one
+// that a later process of its node has replaced.
+func TestNewPrimaryDoesNotWaitForEndedDispatchers(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 2)
+	second, d := c.stores[1], c.dispatcher
+	before := protocol.ItemVersion{Term: 1, Number: 1}
+	closed, replaced := newDispatcher(t, "edge-2"), startDispatcher(t, c.control, "edge-3")
+	for _, ending := range []*fakeDispatcher{closed, replaced} {
+		ending.hello(second, before)
+		ending.awaitHello(second, before)
+	}
+	second.await(func(s *store) bool {
+		sess := s.sessions[sessionName(replaced.node.Key, replaced.node.Incarnation)]
+		s.reconcileSessions(s.now(), s.view)
+		return sess.listed
+	})
+	closed.disconnect(second)
+	next := newDispatcher(t, "edge-3")
+	next.node.Incarnation = replaced.node.Incarnation + 1
+	c.control.addNode(next.node)
+	table := c.view(1, 0)
+	second.await(func(s *store) bool {
+		p := s.partitions[0]
+		p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
+		return p.leading && p.mayAct(s.now())
+	})
+	d.hello(second, table)
+	next.hello(second, table)
+	second.await(func(s *store) bool { return s.partitions[0].hellosComplete })
+	is.Equal(len(d.deliveries), 0)
+}
--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -279,7 +280,7 @@
 func (p *partition) logMissingHellos() {
 	p.store.logger.Warn("a partition is delivered before all dispatchers have listed what they hold",
 		zap.Uint32("partition", p.number), zap.Uint64("epoch", p.view.Epoch), zap.Bool("planned", p.plannedTakeover),
-		zap.Strings("missing", p.store.unlisted(p)))
+		zap.Strings("missing", slices.Sorted(p.store.unlisted(p))))
 }
 
 // write replicates records; writes complete in the order in which they were started.
--- a/internal/roles/store/session.go
+++ b/internal/roles/store/session.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"iter"
 	"slices"
 	"strconv"
 	"time"
@@ -173,26 +174,38 @@
 	}
 }
 
-// allListed reports whether every live dispatcher has listed all deliveries of the partition that it holds.
-func (s *store) allListed(p *partition) bool {
-	for node := range s.view.Each(protocol.RoleDispatcher) {
-		if _, listed := p.listed[sessionName(node.Key, node.Incarnation)]; !listed {
-			return false
+// unlisted yields the names of the dispatchers that have not listed all deliveries of the partition that they hold: of those that are live by the node
+// table, and of those that are connected and may not be in it yet, or no more.
+func (s *store) unlisted(p *partition) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for node := range s.view.Each(protocol.RoleDispatcher) {
+			name := sessionName(node.Key, node.Incarnation)
+			if _, listed := p.listed[name]; !listed && !yield(name) {
+				return
+			}
+		}
+		for name, sess := range s.sessions {
+			if _, listed := p.listed[name]; !listed && s.connectedBesideTable(sess) && !yield(name) {
+				return
+			}
 		}
 	}
-	return true
 }
 
-// unlisted returns the names of the dispatchers for which allListed still waits.
-func (s *store) unlisted(p *partition) []string {
-	var names []string
-	for node := range s.view.Each(protocol.RoleDispatcher) {
-		name := sessionName(node.Key, node.Incarnation)
-		if _, listed := p.listed[name]; !listed {
-			names = append(names, name)
-		}
+// connectedBesideTable reports whether the dispatcher of a session is connected, although the node table does not contain its process, and is not
+// known to have ended.
+func (s *store) connectedBesideTable(sess *session) bool {
+	node, found := s.view.NodeByKey(sess.key)
+	inTable := found && node.Incarnation == sess.incarnation
+	return sess.conn != nil && !inTable && !s.processReplaced(sess, s.view)
+}
+
+// allListed reports whether every dispatcher has listed all deliveries of the partition that it holds.
+func (s *store) allListed(p *partition) bool {
+	for range s.unlisted(p) {
+		return false
 	}
-	return names
+	return true
 }
 
 // markHeld marks the deliveries of a partition as held that dispatchers listed in their last Hello, or in the last one that listed them all.
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -43,6 +43,11 @@
 		Old: "!sess.tableVersion.Less(p.tableVersion) && !s.tableVersion.Less(sess.tableVersion)", New: "!sess.tableVersion.Less(p.tableVersion)",
 		Package: "./internal/roles/store",
 	},
+	{
+		Promise: "a new primary waits for connected dispatchers beside its node table", File: "internal/roles/store/session.go",
+		Old: "return sess.conn != nil && !inTable &&", New: "return false && !inTable &&",
+		Package: "./internal/roles/store",
+	},
 	{
 		Promise: "a new connection shows nothing of other stores' deliveries", File: "queue/dispatcher.go",
 		Old: "case delivery.foreign:", New: "case false:",
