A primary without leases does not acknowledge outcomes that it does not know

A dispatcher reports to the primary of its own table. With an old table that is the last primary, which, while it has not learnt of its successor, answered an outcome of a message that it does not know as if the message had ended. A success of the successor's delivery was then forgotten, and the message ran again after its deadline.

TestPrimaryWithoutLeasesAcknowledgesNoUnknownOutcome fails without the change. Such an outcome is now acknowledged only while the leases are held; else the dispatcher is told that this is not the primary, and reports again.

--- a/internal/roles/store/hello_test.go
+++ b/internal/roles/store/hello_test.go
@@ -169,3 +169,19 @@
 	second.await(func(s *store) bool { return s.partitions[0].hellosComplete })
 	is.Equal(len(d.deliveries), 0)
 }
+
+// TestPrimaryWithoutLeasesAcknowledgesNoUnknownOutcome guards against a success that is forgotten: a dispatcher with an old table reports it to the last
+// primary, which does not know of its successor and of the message.
+func TestPrimaryWithoutLeasesAcknowledgesNoUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 2)
+	first, d := c.stores[0], c.dispatcher
+	thaw := c.stores[1].freeze()
+	defer thaw()
+	first.await(func(s *store) bool { return s.partitions[0].leasesUntil() < s.now() })
+	delivery := protocol.Deliver{ID: "m1", Epoch: 2, Attempt: 2<<attemptBits + 1} // by the successor
+	is.Equal(code(d.result(first, &delivery, protocol.OutcomeSucceeded)), protocol.CodeNotPrimary)
+	thaw()
+	first.await(func(s *store) bool { return s.partitions[0].mayAct(s.now()) })
+	is.NoErr(d.result(first, &delivery, protocol.OutcomeSucceeded)) // it has ended, as there is no successor
+}
--- a/internal/roles/store/result.go
+++ b/internal/roles/store/result.go
@@ -58,7 +58,7 @@
 	}
 	switch t.Action {
 	case queue.Ignore, queue.Unknown:
-		reply(nil, nil) // nothing to write: counted before, ended, or delivered again
+		s.replyWithoutWrite(p, reply)
 	case queue.AlreadyEnding:
 		s.joinEnding(p, m.ID, reply)
 	case queue.Record:
@@ -68,6 +68,16 @@
 	}
 }
 
+// replyWithoutWrite replies to an outcome for which there is nothing to write: it was counted before, or the message has ended or was delivered again.
+// A primary without leases may have a successor that made the delivery, and cannot know.
+func (s *store) replyWithoutWrite(p *partition, reply replyFunc) {
+	if !p.mayAct(s.now()) {
+		reply(nil, notPrimary(p.number))
+		return
+	}
+	reply(nil, nil)
+}
+
 // joinEnding replies once the end of a message is durable. If the message has ended within this batch of events, its write is started first.
 func (s *store) joinEnding(p *partition, id string, reply replyFunc) {
 	if p.endings[id] == nil {
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -48,6 +48,11 @@
 		Old: "return sess.conn != nil && !inTable &&", New: "return false && !inTable &&",
 		Package: "./internal/roles/store",
 	},
+	{
+		Promise: "a primary without leases acknowledges no outcome that it does not know", File: "internal/roles/store/result.go",
+		Old: "if !p.mayAct(s.now()) {", New: "if false {",
+		Package: "./internal/roles/store",
+	},
 	{
 		Promise: "a new connection shows nothing of other stores' deliveries", File: "queue/dispatcher.go",
 		Old: "case delivery.foreign:", New: "case false:",
