Outcomes that a primary without leases knows are acknowledged at once

Refused are now only outcomes that may be a successor's: of a message that is neither queued nor ended here, and ones that end nothing, of deliveries that are not known. A success of a queued message still counts at once, whichever store delivered it.

--- a/internal/roles/store/result.go
+++ b/internal/roles/store/result.go
@@ -47,7 +47,7 @@
 		return
 	}
 	p := s.partitions[m.Partition]
-	if p == nil || !p.leading {
+	if p == nil || !p.leading || s.mayBeOfSuccessor(p, &m, outcome) {
 		reply(nil, notPrimary(m.Partition))
 		return
 	}
@@ -58,7 +58,7 @@
 	}
 	switch t.Action {
 	case queue.Ignore, queue.Unknown:
-		s.replyWithoutWrite(p, reply)
+		reply(nil, nil) // nothing to write: counted before, ended, or delivered again
 	case queue.AlreadyEnding:
 		s.joinEnding(p, m.ID, reply)
 	case queue.Record:
@@ -68,14 +68,17 @@
 	}
 }
 
-// replyWithoutWrite replies to an outcome for which there is nothing to write: it was counted before, or the message has ended or was delivered again.
-// A primary without leases may have a successor that made the delivery, and cannot know.
-func (s *store) replyWithoutWrite(p *partition, reply replyFunc) {
-	if !p.mayAct(s.now()) {
-		reply(nil, notPrimary(p.number))
-		return
+// mayBeOfSuccessor reports whether an outcome may be of a delivery, or of a message, that a later primary has made: this one does not know it, and holds no
+// leases that would show that there is no later primary.
+func (s *store) mayBeOfSuccessor(p *partition, m *protocol.Result, outcome queue.Outcome) bool {
+	_, ended := p.ended[m.ID]
+	switch {
+	case ended || p.mayAct(s.now()):
+		return false
+	case outcome.EndsMessage():
+		return !s.queue.Has(p.number, m.ID)
 	}
-	reply(nil, nil)
+	return !s.queue.KnowsDelivery(p.number, m.ID, m.Attempt)
 }
 
 // joinEnding replies once the end of a message is durable. If the message has ended within this batch of events, its write is started first.
--- a/queue/outcome.go
+++ b/queue/outcome.go
@@ -1,6 +1,9 @@
 package queue
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The pauses before a retry: the initial value, and the maximum up to which it doubles.
 const (
@@ -13,6 +16,16 @@
 	maxRetries      = 16 // bounds the exponent; every pause has reached its maximum by then
 )
 
+// EndsMessage reports whether the outcome ends its message whenever it arrives, whichever store made the delivery.
+func (o Outcome) EndsMessage() bool { return o == Succeeded || o == Refused || o == NoRoute }
+
+// KnowsDelivery reports whether the outcome of a delivery is expected, or was counted before. It is false for a delivery that another store made and
+// that no dispatcher has listed.
+func (q *Queue) KnowsDelivery(partition uint32, id string, attempt uint32) bool {
+	m := q.find(partition, id)
+	return m != nil && (m.ending || m.findPending(attempt) != nil || slices.Contains(m.concluded, attempt))
+}
+
 // Outcome processes the outcome of a delivery. A success or a refusal counts whenever it arrives; any other outcome counts once per
 // delivery. Unless it has ended, the message is delivered again after retryAfter or after a growing pause.
 func (q *Queue) Outcome(now time.Duration, partition uint32, id string, attempt uint32, o Outcome, retryAfter time.Duration) Transition {
