A late delivery of an earlier primary does not hide the one that is held

A dispatcher lists a delivery to the store that sent it last. One of an earlier primary, arriving after that of the present one while the dispatcher knows neither view, made it the earlier store's: the next Hello on a new connection to the present primary left the message out, which presumed its own delivery lost and delivered it again.

TestLateDeliveryOfAnEarlierPrimaryDoesNotHideTheHeldOne fails without the change: a delivery with a lower attempt number, which carries the epoch, no longer changes whose it is.

--- a/internal/roles/dispatcher/stores/held.go
+++ b/internal/roles/dispatcher/stores/held.go
@@ -115,9 +115,9 @@
 		h = &heldDelivery{key: key, store: store, arrived: now, confirmed: now, attempt: m.Attempt}
 		s.deliveries[key] = h
 		return h, takeRun
-	case !h.finished:
-		h.store, h.attempt = store, max(h.attempt, m.Attempt)
-	case m.Attempt > h.attempt && (h.redelivery == nil || m.Attempt > h.redelivery.Attempt):
+	case !h.finished && m.Attempt > h.attempt: // a delivery of an earlier primary may arrive late
+		h.store, h.attempt = store, m.Attempt
+	case h.finished && m.Attempt > h.attempt && (h.redelivery == nil || m.Attempt > h.redelivery.Attempt):
 		h.store, h.redelivery = store, m
 	}
 	return nil, takeDuplicate
--- a/internal/roles/dispatcher/stores/links_test.go
+++ b/internal/roles/dispatcher/stores/links_test.go
@@ -222,6 +222,24 @@
 }
 
 // A message is delivered again after its run has ended and before its result is known to be on disk.
+// TestLateDeliveryOfAnEarlierPrimaryDoesNotHideTheHeldOne guards against a message that runs twice: a delivery of an earlier primary, which arrives after
+// that of the present one while this process knows neither view, made the Hello to the present one leave the message out.
+func TestLateDeliveryOfAnEarlierPrimaryDoesNotHideTheHeldOne(t *testing.T) {
+	is := is.New(t)
+	r, earlier, present := newHarness(t), newFakeStore(t), newFakeStore(t)
+	r.publishTable(1, earlier, present) // of partition 0 the earlier one is primary by this table
+	fromEarlier, fromPresent := earlier.helloForTable(t, 1), present.helloForTable(t, 1)
+	later := message("m", 2<<12+1)
+	later.Epoch = 2
+	fromPresent.deliver(t, later)
+	receive(t, r.runs)
+	fromEarlier.deliver(t, message("m", 1<<12+1))
+	fromEarlier.flush(t)
+	fromPresent.conn.Close()
+	again := present.helloForTable(t, 1)
+	is.Equal(again.hello.Held, []protocol.HeldDelivery{{ID: "m", Attempt: 2<<12 + 1}})
+}
+
 func TestRedeliveryWhileTheResultIsBeingReported(t *testing.T) {
 	for name, c := range map[string]struct {
 		end  delivery.Result
