--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -20,11 +19,6 @@
 	sequenceBits = 40
 	// attemptBits is the number of bits of an attempt number below the epoch, so that two primaries never use the same number.
 	attemptBits = 12
-	// helloTimeout is how long a new primary waits for the Hello of all live dispatchers if the previous primary was lost.
-	helloTimeout = 500 * time.Millisecond
-	// plannedHelloTimeout is the same if the previous primary is still a member or has a session: nothing was lost, so no message
-	// should run twice.
-	plannedHelloTimeout = 1500 * time.Millisecond
 	// blockedLogDelay is how long members may block writes before a warning is logged.
 	blockedLogDelay = 300 * time.Millisecond
 	// slowWriteAge is the age of the oldest pending write above which no more messages are accepted: other partitions are faster.
@@ -84,14 +78,6 @@
 	return p, nil
 }
 
-// helloTimeout returns how long a new primary waits for the Hello of dispatchers.
-func (p *partition) helloTimeout() time.Duration {
-	if p.plannedTakeover {
-		return plannedHelloTimeout
-	}
-	return helloTimeout
-}
-
 func (p *partition) clearMessages() {
 	p.pending = map[string]*pendingAccept{}
 	p.endings = map[string]*ending{}
@@ -259,30 +245,6 @@
 	return p.hellosComplete
 }
 
-// awaitHellos checks whether all dispatchers have listed what they hold, or the time for that is over.
-func (p *partition) awaitHellos(now time.Duration) {
-	switch {
-	case p.store.allListed(p):
-	case now >= p.helloDeadline:
-		p.logMissingHellos()
-	default:
-		return
-	}
-	p.hellosComplete, p.listed = true, nil
-}
-
-// restartHellos makes this store, if it is the next primary, wait until all dispatchers have listed what they hold.
-func (p *partition) restartHellos() {
-	p.hellosComplete, p.listed = false, map[string][]queue.HeldDelivery{}
-}
-
-// logMissingHellos logs the dispatchers that have not listed their deliveries in time: what they hold may run twice.
-func (p *partition) logMissingHellos() {
-	p.store.logger.Warn("a partition is delivered before all dispatchers have listed what they hold",
-		zap.Uint32("partition", p.number), zap.Uint64("epoch", p.view.Epoch), zap.Bool("planned", p.plannedTakeover),
-		zap.Strings("missing", slices.Sorted(p.store.unlisted(p))))
-}
-
 // write replicates records; writes complete in the order in which they were started.
 func (p *partition) write(records []replication.Record, done func(error)) {
 	p.writeStarts = append(p.writeStarts, p.store.now())
--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -39,12 +39,12 @@
 		Package: "./internal/roles/store",
 	},
 	{
-		Promise: "a Hello by a newer table shows nothing by what it does not list", File: "internal/roles/store/session.go",
+		Promise: "a Hello by a newer table shows nothing by what it does not list", File: "internal/roles/store/hello.go",
 		Old: "!sess.tableVersion.Less(p.tableVersion) && !s.tableVersion.Less(sess.tableVersion)", New: "!sess.tableVersion.Less(p.tableVersion)",
 		Package: "./internal/roles/store",
 	},
 	{
-		Promise: "a new primary waits for connected dispatchers beside its node table", File: "internal/roles/store/session.go",
+		Promise: "a new primary waits for connected dispatchers beside its node table", File: "internal/roles/store/hello.go",
 		Old: "return sess.conn != nil && !inTable &&", New: "return false && !inTable &&",
 		Package: "./internal/roles/store",
 	},
