--- a/internal/roles/store/daemon_test.go
+++ b/internal/roles/store/daemon_test.go
@@ -466,11 +466,7 @@
 	is.Equal(d.accept(first, message("m1", "plain", "")), protocol.AcceptStored)
 	m1 := d.next()
 	table := c.view(1, 0)
-	second.await(func(s *store) bool {
-		p := s.partitions[0]
-		p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
-		return p.leading && p.mayAct(s.now())
-	})
+	second.awaitTakeover()
 	second.await(func(s *store) bool { return s.queue.Has(0, "m1") && len(s.queue.Stats()) == 0 })
 	d.hello(second, table, held(&m1))
 	second.await(func(s *store) bool { return s.partitions[0].hellosComplete })
--- a/internal/roles/store/fake_test.go
+++ b/internal/roles/store/fake_test.go
@@ -251,6 +251,16 @@
 	})
 }
 
+// awaitTakeover waits until the store leads partition 0 and holds its leases, and may wait for Hellos without end.
+func (s *testStore) awaitTakeover() {
+	s.t.Helper()
+	s.await(func(s *store) bool {
+		p := s.partitions[0]
+		p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
+		return p.leading && p.mayAct(s.now())
+	})
+}
+
 // fakeDispatcher is a dispatcher that the test controls, on plain connections.
 type fakeDispatcher struct {
 	t          *testing.T
--- a/internal/roles/store/hello_test.go
+++ b/internal/roles/store/hello_test.go
@@ -66,11 +66,7 @@
 			m1 := d.next()
 			table := c.view(1, 0, 2)
 			newer := protocol.ItemVersion{Term: table.Term, Number: table.Number + 1}
-			second.await(func(s *store) bool {
-				p := s.partitions[0]
-				p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
-				return p.leading && p.mayAct(s.now())
-			})
+			second.awaitTakeover()
 			test.hello(d, second, &m1, table, newer)
 			d.awaitHello(second, newer)
 			d.awaitNoDelivery(second)
@@ -122,11 +118,7 @@
 	is.Equal(d.accept(first, message("m1", "plain", "")), protocol.AcceptStored)
 	m1 := unknown.next()
 	table := c.view(1, 0)
-	second.await(func(s *store) bool {
-		p := s.partitions[0]
-		p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
-		return p.leading && p.mayAct(s.now())
-	})
+	second.awaitTakeover()
 	d.hello(second, table)
 	d.awaitHello(second, table)
 	var delivers bool
@@ -160,11 +152,7 @@
 	next.node.Incarnation = replaced.node.Incarnation + 1
 	c.control.addNode(next.node)
 	table := c.view(1, 0)
-	second.await(func(s *store) bool {
-		p := s.partitions[0]
-		p.helloDeadline = s.now() + time.Hour // never reached, even on a slow machine
-		return p.leading && p.mayAct(s.now())
-	})
+	second.awaitTakeover()
 	d.hello(second, table)
 	next.hello(second, table)
 	second.await(func(s *store) bool { return s.partitions[0].hellosComplete })
