--- a/test.sh
+++ b/test.sh
@@ -109,7 +109,7 @@
 # threads that run timers of a bubble at once wreck it (SIGSEGV in StackDepotBase::Put). All its tests run, and races are found as before:
 # the detector goes by the order of synchronization, not by what runs at once. The tests are dealt to several processes.
 one_processor=liftgauge/sim/system
-one_processor_shards=4
+one_processor_shards=7
 race_on_one_processor() { # -skip of the known red ones follows, if there are any
   local names=() shard i pattern pids=() failed=0
   mapfile -t names < <(go test -race -list . "$one_processor" | grep -E '^(Test|Fuzz|Example)')
