Dispatchers log why the outcome of an attempt is unknown

A message is delivered again after an unknown outcome, but nothing told whether the dispatcher had given up, the connection had ended, or a response to another request had been read. Each line names message, worker, cause, the request that the response named, and the time since the first byte. Unknown outcomes are no ordinary path; the logger's sampling limits the lines.

--- a/internal/roles/dispatcher/delivery/actions.go
+++ b/internal/roles/dispatcher/delivery/actions.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -53,6 +54,9 @@
 			s.refreshWorkers()
 		}
 	}
+	if end.Outcome == protocol.OutcomeUnknown {
+		s.logUnclear(j, s.nameOf(to), end)
+	}
 	if s.Static != "" && unreachable(end.status) {
 		// There is no other worker, and the stores limit further attempts: excluding it here would only delay its use once it has recovered.
 		end.status = balance.NotSent
@@ -69,6 +73,14 @@
 	}
 }
 
+// nameOf returns the instance or address of a worker; empty if it is not listed any more.
+func (s *service) nameOf(id balance.WorkerID) string {
+	if w := s.workers[id]; w != nil {
+		return cmp.Or(w.instance, w.address)
+	}
+	return ""
+}
+
 // unreachable reports whether an attempt got no usable response from its worker.
 func unreachable(status balance.Status) bool {
 	return status == balance.ConnectFailed || status == balance.Reset || status == balance.TimedOut || status == balance.Errored
--- a/internal/roles/dispatcher/delivery/client.go
+++ b/internal/roles/dispatcher/delivery/client.go
@@ -214,10 +214,13 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return classifyFailure(g, ctx, reused)
+		end, retry = classifyFailure(g, ctx, reused)
+	} else {
+		defer response.Body.Close()
+		end = c.readResponse(ctx, g, a, response)
 	}
-	defer response.Body.Close()
-	return c.readResponse(ctx, g, a, response), false
+	end.sinceFirstByte = g.sinceFirstByte()
+	return end, retry
 }
 
 // classifyFailure derives the result of an exchange without a response.
@@ -225,9 +228,9 @@
 	sent, denied := g.sent()
 	switch {
 	case sent && ctx.Err() != nil:
-		return unknown(balance.TimedOut), false
+		return unknown(balance.TimedOut, causeNoResponse), false
 	case sent:
-		return unknown(balance.Reset), false
+		return unknown(balance.Reset, causeConnection), false
 	case denied != nil:
 		return notRun(balance.NotSent), false
 	case ctx.Err() != nil || !reused:
@@ -240,16 +243,18 @@
 
 // readResponse reads the whole response. If it belongs to another request, the outcome is unknown and the connection is closed.
 func (c *client) readResponse(ctx context.Context, g *sendGuard, a *attempt, response *http.Response) attemptResult {
-	if response.Header.Get(headerRequestID) != a.message.RequestID {
+	if id := response.Header.Get(headerRequestID); id != a.message.RequestID {
 		g.connection().Close()
-		return unknown(balance.Errored)
+		end := unknown(balance.Errored, causeForeign)
+		end.foreignID = id
+		return end
 	}
 	if err := discard(response.Body); err != nil {
 		g.connection().Close()
 		if ctx.Err() != nil {
-			return unknown(balance.TimedOut)
+			return unknown(balance.TimedOut, causeTruncated)
 		}
-		return unknown(balance.Reset)
+		return unknown(balance.Reset, causeTruncated)
 	}
 	g.connection().markIdle(time.Now())
 	c.learnKeepAlive(response.Header)
--- a/internal/roles/dispatcher/delivery/conn.go
+++ b/internal/roles/dispatcher/delivery/conn.go
@@ -68,10 +68,11 @@
 	permit    func() error // nil for always
 	onSend    func()       // called when the first byte is about to be sent
 
-	mu       sync.Mutex
-	conn     *workerConn
-	acquired bool
-	denied   error
+	mu        sync.Mutex
+	conn      *workerConn
+	acquired  bool
+	firstByte time.Time // when the first byte was about to be sent
+	denied    error
 }
 
 // acquire decides whether the first byte may be sent. lastID and idleSince describe the connection's earlier use.
@@ -92,7 +93,7 @@
 			return err
 		}
 	}
-	g.acquired = true
+	g.acquired, g.firstByte = true, time.Now()
 	g.onSend()
 	return nil
 }
@@ -111,6 +112,16 @@
 	return g.acquired, g.denied
 }
 
+// sinceFirstByte returns how long ago the first byte was sent; 0 if none was.
+func (g *sendGuard) sinceFirstByte() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.acquired {
+		return 0
+	}
+	return time.Since(g.firstByte)
+}
+
 // bind binds the guard to the connection that was chosen.
 func (g *sendGuard) bind(c *workerConn) {
 	g.mu.Lock()
--- a/internal/roles/dispatcher/delivery/response.go
+++ b/internal/roles/dispatcher/delivery/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"liftgauge/balance"
 	"liftgauge/internal/protocol"
@@ -25,14 +26,18 @@
 	retryElsewhere bool
 	// wrongInstance says that another worker now has the address.
 	wrongInstance bool
+
+	cause          unclearCause  // of an unknown outcome
+	foreignID      string        // of the request that a foreign response names
+	sinceFirstByte time.Duration // 0 if nothing was sent
 }
 
 func notRun(status balance.Status) attemptResult {
 	return attemptResult{Result: Result{Outcome: protocol.OutcomeNotRun, Pause: pauseFull}, status: status, retryElsewhere: true}
 }
 
-func unknown(status balance.Status) attemptResult {
-	return attemptResult{Result: Result{Outcome: protocol.OutcomeUnknown}, status: status}
+func unknown(status balance.Status, cause unclearCause) attemptResult {
+	return attemptResult{Result: Result{Outcome: protocol.OutcomeUnknown}, status: status, cause: cause}
 }
 
 // classify derives the result from a complete response that belongs to the request.
@@ -58,9 +63,9 @@
 	case code == http.StatusUnprocessableEntity:
 		e.Outcome, e.status = protocol.OutcomeRefused, balance.Rejected
 	case code == http.StatusGatewayTimeout:
-		e.Outcome, e.status = protocol.OutcomeUnknown, balance.TimedOut
+		e.Outcome, e.status, e.cause = protocol.OutcomeUnknown, balance.TimedOut, causeStatus
 	default:
-		e.Outcome, e.status = protocol.OutcomeUnknown, balance.Errored
+		e.Outcome, e.status, e.cause = protocol.OutcomeUnknown, balance.Errored, causeStatus
 	}
 	return e
 }
