--- a/internal/roles/dispatcher/delivery/fake_test.go
+++ b/internal/roles/dispatcher/delivery/fake_test.go
@@ -145,8 +145,8 @@
 		b.engine = New(Options{Zone: "a", Zones: []string{"a", "b"}, Seed: 1, Dial: b.dial, AllowRateLimited: b.allowRateLimited.Load})
 		b.state = State{Number: 0, Dispatchers: 1, InZone: 1, Services: []Service{{Name: "orders"}}, ListVersion: protocol.ItemVersion{Term: 1}}
 		defer b.engine.Close()
+		defer time.Sleep(time.Second) // on the bubble's clock, so that the fakes finish, after a failure too
 		test(t, b)
-		time.Sleep(time.Second) // on the bubble's clock, so that the fakes finish
 	})
 }
 
