Responses of workers that name another request are dropped

Cause: a worker in trouble may respond to a request a second time, later; on a connection that is kept open, the duplicate comes right before the response to the next request, even seconds after the trouble has ended. A dispatcher read one response for each request: it took the duplicate, saw another request's id, closed the connection and reported the outcome as unknown, while the real response lay in the same buffer. The store delivered the message again after its pause of 100 ms.

Change: the connection to a worker reads responses itself, each to its end (net/http parses them), and passes only those on to the transport that may belong to the current request; one that names another request is dropped, sixteen in a row at most. While no response is awaited such a response ends the connection, as before, and from that moment no request is sent on it. The same holds for probes: a duplicate of a success made a worker look well. Bodies, which nobody uses, are not passed on. Why it works: a response carries its request's id, so what is dropped can never be the awaited one, and the wait for it stays limited by the attempt's time-out.

--- a/internal/roles/dispatcher/delivery/client.go
+++ b/internal/roles/dispatcher/delivery/client.go
@@ -14,27 +14,26 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"liftgauge/balance"
 	"liftgauge/internal/protocol"
 )
 
 const (
-	defaultKeepAlive       = 4 * time.Second // of a worker's idle connections, until a Keep-Alive header is received
-	maxResponseBytes       = 16 << 20        // a longer response body is treated as truncated
-	maxResponseHeaderBytes = 64 << 10
-	writeBuffer            = 8 << 10
-	readBuffer             = 2 << 10
-	maxUnsentExchanges     = 3 // connections used for one attempt while nothing of it was sent
+	defaultKeepAlive   = 4 * time.Second // of a worker's idle connections, until a Keep-Alive header is received
+	writeBuffer        = 8 << 10
+	readBuffer         = 2 << 10
+	headBuffer         = 512 // for the heads of responses that a connection passes on
+	maxUnsentExchanges = 3   // connections used for one attempt while nothing of it was sent
 )
 
-var errResponseTooLong = errors.New("delivery: the worker's response is too long: have the service send a shorter one")
-
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // client sends to the workers of one service.
 type client struct {
-	dial dialFunc
+	dial   dialFunc
+	logger *zap.Logger
 
 	mu        sync.Mutex
 	transport *http.Transport
@@ -42,12 +41,12 @@
 	keepAlive time.Duration // how long workers keep idle connections open
 }
 
-func newClient(dial dialFunc) *client {
+func newClient(dial dialFunc, logger *zap.Logger) *client {
 	if dial == nil {
 		d := &net.Dialer{Timeout: ConnectTimeout, KeepAlive: -1}
 		dial = d.DialContext
 	}
-	return &client{dial: dial, keepAlive: defaultKeepAlive}
+	return &client{dial: dial, logger: logger, keepAlive: defaultKeepAlive}
 }
 
 // idleLimit is how long a connection may be idle and still be reused.
@@ -114,7 +113,7 @@
 			IdleConnTimeout:        c.idleLimit(),
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			WriteBufferSize:        writeBuffer,
-			ReadBufferSize:         readBuffer,
+			ReadBufferSize:         headBuffer,
 		}
 	}
 	return c.transport, c.idleLimit()
@@ -125,7 +124,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &workerConn{Conn: conn}, nil
+	return newWorkerConn(conn, func(response *http.Response, awaited bool) {
+		c.logger.Info("a response to another request was dropped", zap.String("worker", address), zap.Int("status", response.StatusCode),
+			zap.String("response_to", response.Header.Get(headerRequestID)), zap.Bool("awaited", awaited))
+	}), nil
 }
 
 // attempt is one request to one worker.
@@ -201,34 +203,42 @@
 	transport, idleLimit := c.currentTransport()
 	timer := time.AfterFunc(ConnectTimeout+responseGrace, func() { time.AfterFunc(readGrace, cancel) })
 	defer timer.Stop()
-	g := &sendGuard{id: a.message.RequestID, idleLimit: idleLimit, permit: a.permit,
+	g := &sendGuard{id: a.message.RequestID, method: request.Method, idleLimit: idleLimit, permit: a.permit,
 		onSend: func() { timer.Reset(a.timeout + responseGrace) }}
-	reused := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		reused = info.Reused
-		g.bind(info.Conn.(*workerConn))
-	}}
-	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	if request.Body = nil; len(a.message.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(a.message.Body))
 	}
-	response, err := transport.RoundTrip(request)
+	response, reused, err := roundTrip(ctx, transport, request, g)
 	if err != nil {
-		end, retry = classifyFailure(g, ctx, reused)
+		end, retry = classifyFailure(g, ctx, err, reused)
 	} else {
-		defer response.Body.Close()
-		end = c.readResponse(ctx, g, a, response)
+		end = c.classifyResponse(g, a, response)
 	}
 	end.sinceFirstByte = g.sinceFirstByte()
 	return end, retry
 }
 
+// roundTrip sends the request as far as the guard allows it. The response has no body.
+func roundTrip(ctx context.Context, transport *http.Transport, request *http.Request, g *sendGuard) (response *http.Response, reused bool, err error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		reused = info.Reused
+		g.bind(info.Conn.(*workerConn))
+	}}
+	response, err = transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		err = response.Body.Close()
+	}
+	return response, reused, err
+}
+
 // classifyFailure derives the result of an exchange without a response.
-func classifyFailure(g *sendGuard, ctx context.Context, reused bool) (end attemptResult, retry bool) {
+func classifyFailure(g *sendGuard, ctx context.Context, err error, reused bool) (end attemptResult, retry bool) {
 	sent, denied := g.sent()
 	switch {
 	case sent && ctx.Err() != nil:
 		return unknown(balance.TimedOut, causeNoResponse), false
+	case sent && errors.Is(err, errIncompleteResponse):
+		return unknown(balance.Reset, causeTruncated), false
 	case sent:
 		return unknown(balance.Reset, causeConnection), false
 	case denied != nil:
@@ -241,34 +251,18 @@
 	return notRun(balance.NotSent), true
 }
 
-// readResponse reads the whole response. If it belongs to another request, the outcome is unknown and the connection is closed.
-func (c *client) readResponse(ctx context.Context, g *sendGuard, a *attempt, response *http.Response) attemptResult {
+// classifyResponse derives the result from a response. If it does not name the request, the outcome is unknown and the connection is closed.
+func (c *client) classifyResponse(g *sendGuard, a *attempt, response *http.Response) attemptResult {
 	if id := response.Header.Get(headerRequestID); id != a.message.RequestID {
 		g.connection().Close()
 		end := unknown(balance.Errored, causeForeign)
 		end.foreignID = id
 		return end
 	}
-	if err := discard(response.Body); err != nil {
-		g.connection().Close()
-		if ctx.Err() != nil {
-			return unknown(balance.TimedOut, causeTruncated)
-		}
-		return unknown(balance.Reset, causeTruncated)
-	}
-	g.connection().markIdle(time.Now())
 	c.learnKeepAlive(response.Header)
 	return classify(response.StatusCode, response.Header)
 }
 
-func discard(body io.Reader) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxResponseBytes+1))
-	if err == nil && n > maxResponseBytes {
-		return errResponseTooLong
-	}
-	return err
-}
-
 // probe checks the health of a worker.
 func (c *client) probe(ctx context.Context, address, path, instance string) balance.Status {
 	ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
@@ -278,13 +272,12 @@
 		return balance.ConnectFailed
 	}
 	request.Header["User-Agent"] = nil
-	transport, _ := c.currentTransport()
-	response, err := transport.RoundTrip(request)
+	transport, idleLimit := c.currentTransport()
+	response, _, err := roundTrip(ctx, transport, request, &sendGuard{method: request.Method, idleLimit: idleLimit})
 	if err != nil {
 		return balance.ConnectFailed
 	}
-	defer response.Body.Close()
-	if discard(response.Body) != nil || response.StatusCode != http.StatusOK {
+	if response.StatusCode != http.StatusOK {
 		return balance.Full
 	}
 	if answeredBy := response.Header.Get("X-Instance-Id"); instance != "" && answeredBy != "" && answeredBy != instance {
--- a/internal/roles/dispatcher/delivery/conn.go
+++ b/internal/roles/dispatcher/delivery/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -13,30 +14,110 @@
 	errAlreadySent = errors.New("delivery: a byte of this attempt was sent on another connection: report it as unknown")
 	errIdleTooLong = errors.New("delivery: the connection was idle for about as long as the worker keeps it: use another")
 	errSameMessage = errors.New("delivery: the connection has carried this message before: use another")
+	errEnded       = errors.New("delivery: the connection has ended, or is about to be closed: use another")
 )
 
-// workerConn is a connection to a worker that checks before the first byte of each request whether it may be sent.
+// errNotAwaited ends a connection that is idle.
+var errNotAwaited = errors.New("delivery: the worker has sent a response while none was awaited: use another connection")
+
+// workerConn is a connection to a worker. It checks before the first byte of each request whether it may be sent, and passes on only responses to
+// the current request, without their bodies: a worker may send a response a second time, and while the connection is kept open the duplicate
+// may come before the response to the next request.
 type workerConn struct {
 	net.Conn
+	onForeign func(response *http.Response, awaited bool) // called for each response to another request
+
+	// Used by the reading goroutine alone.
+	responses    *responseReader
+	unread       []byte // of the response that is passed on
+	droppedInRow int
 
 	mu        sync.Mutex
 	guard     *sendGuard // of the request that is about to be written
-	lastID    string
-	idleSince time.Time // zero while it has carried nothing
+	lastID    string     // of the last request; empty for a probe
+	method    string     // of the last request
+	awaited   bool       // the last request awaits its response
+	ended     bool       // nothing more can be read
+	idleSince time.Time  // zero while it has carried nothing
 }
 
-// setGuard binds the connection's next write to a guard.
-func (c *workerConn) setGuard(g *sendGuard) {
+func newWorkerConn(connection net.Conn, onForeign func(response *http.Response, awaited bool)) *workerConn {
+	return &workerConn{Conn: connection, onForeign: onForeign, responses: newResponseReader(connection)}
+}
+
+// Read reads the response to the current request, and drops responses that name another one.
+func (c *workerConn) Read(p []byte) (int, error) {
+	if len(c.unread) == 0 {
+		if err := c.readResponse(); err != nil {
+			c.end()
+			return 0, err
+		}
+	}
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
+	return n, nil
+}
+
+// readResponse reads responses up to the one that is passed on.
+func (c *workerConn) readResponse() error {
+	for {
+		response, err := c.responses.next(c.requestMethod)
+		if err != nil {
+			return err
+		}
+		mine, err := c.take(response)
+		if err != nil {
+			return err
+		}
+		if mine {
+			c.droppedInRow = 0
+			c.unread, err = encodeHead(response)
+			return err
+		}
+		if c.droppedInRow++; c.droppedInRow > maxDroppedResponses {
+			return errNotAwaited
+		}
+	}
+}
+
+// requestMethod returns the method of the last request.
+func (c *workerConn) requestMethod() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.guard = g
+	return c.method
 }
 
-// markIdle records that a whole response was read.
-func (c *workerConn) markIdle(now time.Time) {
+// take reports whether a response may belong to the current request, which then awaits no other; if it does not, it is dropped. A response that names
+// no request is left to the caller to judge. The error says that no response is awaited; from then on no request is sent on the connection.
+func (c *workerConn) take(response *http.Response) (mine bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = now
+	if id := response.Header.Get(headerRequestID); id != "" && (!c.awaited || id != c.lastID) {
+		c.onForeign(response, c.awaited)
+		if !c.awaited {
+			c.ended = true
+			return false, errNotAwaited
+		}
+		return false, nil
+	}
+	if response.StatusCode >= http.StatusOK {
+		c.awaited, c.idleSince = false, time.Now()
+	}
+	return true, nil
+}
+
+// end records that nothing more can be read, so that nothing more is sent either.
+func (c *workerConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
+// setGuard binds the connection's next write to a guard.
+func (c *workerConn) setGuard(g *sendGuard) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard = g
 }
 
 // Write acquires the guard first if there is one.
@@ -48,8 +129,7 @@
 		c.mu.Unlock()
 		return c.Conn.Write(p)
 	}
-	err := g.acquire(c.lastID, c.idleSince)
-	c.lastID, c.idleSince = g.id, time.Time{}
+	err := c.begin(g)
 	c.mu.Unlock()
 	if err != nil {
 		return 0, err
@@ -61,12 +141,25 @@
 	return n, err
 }
 
+// begin makes the guard's request the current one, if it may be sent. The caller holds the lock.
+func (c *workerConn) begin(g *sendGuard) error {
+	if c.ended {
+		return errEnded
+	}
+	if err := g.acquire(c.lastID, c.idleSince); err != nil {
+		return err
+	}
+	c.lastID, c.method, c.awaited, c.idleSince = g.id, g.method, true, time.Time{}
+	return nil
+}
+
 // sendGuard lets at most one connection carry an attempt, and only if that is permitted when the first byte is sent.
 type sendGuard struct {
-	id        string
+	id        string // of the request; empty for a probe
+	method    string
 	idleLimit time.Duration
 	permit    func() error // nil for always
-	onSend    func()       // called when the first byte is about to be sent
+	onSend    func()       // called when the first byte is about to be sent; nil for nothing
 
 	mu        sync.Mutex
 	conn      *workerConn
@@ -94,7 +187,9 @@
 		}
 	}
 	g.acquired, g.firstByte = true, time.Now()
-	g.onSend()
+	if g.onSend != nil {
+		g.onSend()
+	}
 	return nil
 }
 
--- a/internal/roles/dispatcher/delivery/duplicate_test.go
+++ b/internal/roles/dispatcher/delivery/duplicate_test.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"liftgauge/balance"
 	"liftgauge/internal/protocol"
 )
 
@@ -86,3 +89,72 @@
 		})
 	}
 }
+
+// A duplicate of a success, which comes first, does not make a worker that is in trouble look well.
+func TestDuplicateIsNotTakenForTheResponseToAProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		n.serveRequests(t, "w1", func(c net.Conn, number int, id string) {
+			if id != "" {
+				io.WriteString(c, responseTo(id))
+				return
+			}
+			if number > 0 {
+				io.WriteString(c, responseTo("m1"))
+			}
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		})
+		c := newClient(n.dial, zap.NewNop())
+		defer c.close()
+		end := c.send(t.Context(), &attempt{message: message("m1"), address: "w1", timeout: time.Second})
+		is.Equal(end.Signature, "of-m1")
+		is.Equal(c.probe(t.Context(), "w1", "/health", ""), balance.Full)
+	})
+}
+
+// Responses are read to their end, however their length is told: what follows one is read as the next.
+func TestResponsesOfAnyFramingAreReadToTheirEnd(t *testing.T) {
+	const head = "X-Request-Id: m2\r\nX-Response-Signature: of-m2\r\n"
+	for name, c := range map[string]struct {
+		method   string
+		response string
+		closed   bool // the worker closes the connection after it
+	}{
+		"no body":                {"POST", "HTTP/1.1 204 No Content\r\n" + head + "\r\n", false},
+		"HEAD":                   {"HEAD", "HTTP/1.1 200 OK\r\n" + head + "Content-Length: 100\r\n\r\n", false},
+		"up to the end":          {"POST", "HTTP/1.1 200 OK\r\n" + head + "\r\nok", true},
+		"the worker closes":      {"POST", "HTTP/1.1 200 OK\r\n" + head + "Connection: close\r\nContent-Length: 2\r\n\r\nok", true},
+		"chunked, with trailers": {"POST", "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", false},
+		"after a 100":            {"POST", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, b *harness) {
+				is := is.New(t)
+				b.serveRequests(t, "w1", func(conn net.Conn, number int, id string) {
+					if id != "m2" {
+						io.WriteString(conn, responseTo(id))
+						return
+					}
+					io.WriteString(conn, c.response)
+					if c.closed {
+						conn.Close()
+					}
+				})
+				b.publishWorkers(protocol.Worker{ID: "w1"})
+				is.Equal(b.deliver(message("m1")).Signature, "of-m1")
+				m := message("m2")
+				if m.Method = c.method; c.method == "HEAD" {
+					m.Body = nil
+				}
+				is.Equal(b.deliver(m).Signature, "of-m2")
+				is.Equal(b.deliver(message("m3")).Signature, "of-m3")
+				if c.closed {
+					is.Equal(b.dialed("w1"), 2)
+				} else {
+					is.Equal(b.dialed("w1"), 1)
+				}
+			})
+		})
+	}
+}
--- a/internal/roles/dispatcher/delivery/service.go
+++ b/internal/roles/dispatcher/delivery/service.go
@@ -49,7 +49,7 @@
 }
 
 func newService(e *Engine, settings Service) *service {
-	s := &service{Service: settings, engine: e, client: newClient(e.options.Dial), workers: map[balance.WorkerID]*worker{},
+	s := &service{Service: settings, engine: e, client: newClient(e.options.Dial, e.options.Logger), workers: map[balance.WorkerID]*worker{},
 		workerIDs: newWorkerIDs(), wrongInstances: map[string]bool{}, jobs: map[balance.JobID]*job{}}
 	targetStart := settings.TargetStart
 	if targetStart <= 0 {
