A message does not come again to a connection that may hold a response to its earlier attempt

A connection refused a message only if it was the last one that it had carried. A message that had failed came again after others had been sent there: a duplicate of its failure was taken for the response to the new attempt, whose success was dropped, so that the message ran a third time; a duplicate of "not run" would have let it run beside itself.

A connection now remembers the last 32 messages whose responses did not end them, and such a message goes to another connection. TestDuplicateOfAnEarlierAttemptIsNotTakenForTheResponse failed before: the outcome was the earlier failure.

--- a/internal/roles/dispatcher/delivery/conn.go
+++ b/internal/roles/dispatcher/delivery/conn.go
@@ -3,10 +3,13 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"liftgauge/internal/protocol"
 )
 
 // Reasons for which a connection does not take a request; nothing of it was sent then.
@@ -17,6 +20,9 @@
 	errEnded       = errors.New("delivery: the connection has ended, or is about to be closed: use another")
 )
 
+// maxUnfinished limits the messages that a connection remembers because they may come again.
+const maxUnfinished = 32
+
 // errNotAwaited ends a connection that is idle.
 var errNotAwaited = errors.New("delivery: the worker has sent a response while none was awaited: use another connection")
 
@@ -32,13 +38,14 @@
 	unread       []byte // of the response that is passed on
 	droppedInRow int
 
-	mu        sync.Mutex
-	guard     *sendGuard // of the request that is about to be written
-	lastID    string     // of the last request; empty for a probe
-	method    string     // of the last request
-	awaited   bool       // the last request awaits its response
-	ended     bool       // nothing more can be read
-	idleSince time.Time  // zero while it has carried nothing
+	mu         sync.Mutex
+	guard      *sendGuard // of the request that is about to be written
+	lastID     string     // of the last request; empty for a probe
+	method     string     // of the last request
+	awaited    bool       // the last request awaits its response
+	ended      bool       // nothing more can be read
+	idleSince  time.Time  // zero while it has carried nothing
+	unfinished []string   // messages that it has carried, and whose responses did not end them
 }
 
 func newWorkerConn(connection net.Conn, onForeign func(response *http.Response, awaited bool)) *workerConn {
@@ -102,10 +109,28 @@
 	}
 	if response.StatusCode >= http.StatusOK {
 		c.awaited, c.idleSince = false, time.Now()
+		c.rememberUnfinished(response)
 	}
 	return true, nil
 }
 
+// rememberUnfinished remembers the current message if it may be delivered again after the response. The caller holds the lock.
+func (c *workerConn) rememberUnfinished(response *http.Response) {
+	outcome := classify(response.StatusCode, response.Header).Outcome
+	if c.lastID == "" || outcome == protocol.OutcomeSucceeded || outcome == protocol.OutcomeRefused {
+		return
+	}
+	if len(c.unfinished) == maxUnfinished {
+		c.unfinished = slices.Delete(c.unfinished, 0, 1)
+	}
+	c.unfinished = append(c.unfinished, c.lastID)
+}
+
+// mayHoldResponseTo reports whether a duplicate response to a message may still come. The caller holds the lock.
+func (c *workerConn) mayHoldResponseTo(id string) bool {
+	return id != "" && (id == c.lastID || slices.Contains(c.unfinished, id))
+}
+
 // end records that nothing more can be read, so that nothing more is sent either.
 func (c *workerConn) end() {
 	c.mu.Lock()
@@ -146,7 +171,10 @@
 	if c.ended {
 		return errEnded
 	}
-	if err := g.acquire(c.lastID, c.idleSince); err != nil {
+	if c.mayHoldResponseTo(g.id) {
+		return errSameMessage
+	}
+	if err := g.acquire(c.idleSince); err != nil {
 		return err
 	}
 	c.lastID, c.method, c.awaited, c.idleSince = g.id, g.method, true, time.Time{}
@@ -168,15 +196,13 @@
 	denied    error
 }
 
-// acquire decides whether the first byte may be sent. lastID and idleSince describe the connection's earlier use.
-func (g *sendGuard) acquire(lastID string, idleSince time.Time) error {
+// acquire decides whether the first byte may be sent on a connection that is idle since a moment.
+func (g *sendGuard) acquire(idleSince time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case g.acquired:
 		return errAlreadySent
-	case g.id != "" && lastID == g.id:
-		return errSameMessage
 	case !idleSince.IsZero() && time.Since(idleSince) > g.idleLimit:
 		return errIdleTooLong
 	}
--- a/internal/roles/dispatcher/delivery/duplicate_test.go
+++ b/internal/roles/dispatcher/delivery/duplicate_test.go
@@ -90,6 +90,37 @@
 	}
 }
 
+// A message that has failed comes again to the connection on which others were sent meanwhile: a duplicate of the failure would hide its success.
+func TestDuplicateOfAnEarlierAttemptIsNotTakenForTheResponse(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *harness) {
+		is := is.New(t)
+		failure := "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: m1\r\nContent-Length: 0\r\n\r\n"
+		attempts := 0
+		b.serveRequests(t, "w1", func(c net.Conn, number int, id string) {
+			if id == "m1" {
+				attempts++
+			}
+			switch {
+			case id == "m1" && attempts == 1:
+				io.WriteString(c, failure)
+			case id == "m1" && number > 0:
+				io.WriteString(c, failure+responseTo(id))
+			default:
+				io.WriteString(c, responseTo(id))
+			}
+		})
+		b.publishWorkers(protocol.Worker{ID: "w1"})
+		is.Equal(b.deliver(message("m1")).Outcome, protocol.OutcomeFailed)
+		for i := range 5 {
+			is.Equal(b.deliver(message(fmt.Sprint("other", i))).Outcome, protocol.OutcomeSucceeded)
+		}
+		b.resultsLock.Lock()
+		delete(b.results, "m1")
+		b.resultsLock.Unlock()
+		is.Equal(b.deliver(message("m1")).Signature, "of-m1")
+	})
+}
+
 // A duplicate of a success, which comes first, does not make a worker that is in trouble look well.
 func TestDuplicateIsNotTakenForTheResponseToAProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
