The wait for a connection ends with the first byte

The timer that limits the wait for a connection (1.15 s) starts a second one (30 ms) that cancels the exchange, and the first byte reset the first timer only. A message that got its connection between the two was sent and cancelled within 30 ms: the worker ran it, the outcome was unknown, and it was delivered again.

Both steps are one wait now, which the first byte replaces; once it has expired no byte is sent, and the outcome is "not run".

--- a/internal/roles/dispatcher/delivery/client.go
+++ b/internal/roles/dispatcher/delivery/client.go
@@ -201,10 +201,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	transport, idleLimit := c.currentTransport()
-	timer := time.AfterFunc(ConnectTimeout+responseGrace, func() { time.AfterFunc(readGrace, cancel) })
-	defer timer.Stop()
+	timer := newExchangeTimer(cancel)
+	defer timer.stop()
 	g := &sendGuard{id: a.message.RequestID, method: request.Method, idleLimit: idleLimit, permit: a.permit,
-		onSend: func() { timer.Reset(a.timeout + responseGrace) }}
+		onSend: func() error { return timer.awaitResponse(a.timeout) }}
 	if request.Body = nil; len(a.message.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(a.message.Body))
 	}
--- a/internal/roles/dispatcher/delivery/conn.go
+++ b/internal/roles/dispatcher/delivery/conn.go
@@ -187,7 +187,7 @@
 	method    string
 	idleLimit time.Duration
 	permit    func() error // nil for always
-	onSend    func()       // called when the first byte is about to be sent; nil for nothing
+	onSend    func() error // called when the first byte is about to be sent, which an error prevents; nil for nothing
 
 	mu        sync.Mutex
 	conn      *workerConn
@@ -212,10 +212,12 @@
 			return err
 		}
 	}
-	g.acquired, g.firstByte = true, time.Now()
 	if g.onSend != nil {
-		g.onSend()
+		if err := g.onSend(); err != nil {
+			return err
+		}
 	}
+	g.acquired, g.firstByte = true, time.Now()
 	return nil
 }
 
