--- a/sim/system/days.go
+++ b/sim/system/days.go
@@ -16,14 +16,14 @@
 func (w *World) listedServices() []Service {
 	listed := w.options.listed()
 	return []Service{
-		{Name: "svc-a", Workers: listed / 2, Run: 20 * time.Millisecond, FailEvery: 23},
-		{Name: "svc-b", Workers: listed - listed/2, Run: 30 * time.Millisecond},
+		{Name: "svc-a", Workers: listed / 2, Run: 20 * time.Millisecond, FailEvery: 23, DuplicateEvery: 11},
+		{Name: "svc-b", Workers: listed - listed/2, Run: 30 * time.Millisecond, DuplicateEvery: 7},
 	}
 }
 
 // startConfigured starts all workers and processes and applies the first configuration.
 func startConfigured(w *World) error {
-	for _, s := range append(w.listedServices(), Service{Name: "svc-c", Rate: 12, Run: 10 * time.Millisecond}) {
+	for _, s := range append(w.listedServices(), Service{Name: "svc-c", Rate: 12, Run: 10 * time.Millisecond, DuplicateEvery: 5}) {
 		if err := w.Platform.Add(s); err != nil {
 			return err
 		}
--- a/sim/system/platform.go
+++ b/sim/system/platform.go
@@ -22,6 +22,8 @@
 	Run     time.Duration
 	// FailEvery makes every FailEvery-th run of a worker fail with 500; 0 for none.
 	FailEvery int
+	// DuplicateEvery makes a worker send the response to every DuplicateEvery-th run a second time, later; 0 for none.
+	DuplicateEvery int
 }
 
 // Platform simulates the platform: its worker list and the workers.
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, IdleTimeout: 20 * time.Second}
+	server := &http.Server{Handler: handler, IdleTimeout: 20 * time.Second, ConnContext: withWorkerConnection}
 	p.mu.Lock()
 	p.servers = append(p.servers, server)
 	p.mu.Unlock()
@@ -194,6 +196,11 @@
 	if status == http.StatusOK {
 		rw.Header().Set("X-Response-Signature", signature)
 	}
+	connection := connectionOf(r)
+	connection.writePending()
+	if delay, repeats := w.duplicateDelay(id, count); repeats {
+		connection.duplicate(w.platform.world, id, signature, status, delay)
+	}
 	rw.WriteHeader(status)
 	_, _ = io.WriteString(rw, "done "+id)
 	checker.recordCompletion(m, status, signature, time.Since(begin))
