A full log is not a stalled disk

A refused write counted as a stalled disk, so all three stores handed out nothing, no message ended, and no space came free, for good.

The log has a reserve in which the ends of messages are accepted. It now tells a refusal for the sake of that reserve (ErrReserved) from a disk that takes nothing; the former does not make a store stall, and the store reports itself as full meanwhile. A log whose reserve is used up, and a disk without space (ENOSPC), count as stalled as before, since the end of a delivery cannot be recorded there.

TestFullLogIsNotAStalledDisk and TestReserveIsToldFromAFullDisk state what did not exist before.

--- a/internal/recordlog/errors.go
+++ b/internal/recordlog/errors.go
@@ -10,6 +10,8 @@
 var (
 	// ErrFull means that the disk, or the part of it that the log may use, is full. The append had no effect.
 	ErrFull = errors.New("record log: no space left: delete records, or raise DiskMb of Limits")
+	// ErrReserved is an ErrFull: the space that is left is kept for appends that free some, and these are still accepted.
+	ErrReserved = errors.WithMessage(ErrFull, "record log: the rest is reserved for records that free space")
 	// ErrClosed means that the log was closed before the append.
 	ErrClosed = errors.New("record log: closed: open it again")
 	// ErrTooLarge means that a key or a value is longer than the record format allows.
--- a/internal/recordlog/fault_test.go
+++ b/internal/recordlog/fault_test.go
@@ -107,6 +107,16 @@
 
 var smallDisk = Options{SegmentBytes: 8 << 10, GenerationBytes: 32 << 10, DiskBytes: 512 << 10, CacheBytes: -1}
 
+// A log that refuses new records because of its reserve is told from a disk that takes nothing.
+func TestReserveIsToldFromAFullDisk(t *testing.T) {
+	is := is.New(t)
+	l, _ := fillLog(t, t.TempDir(), smallDisk, newPowerLossDisk())
+	is.True(errors.Is(appendNow(t, l, 1, put("another", 1, repeated('x', 1000))), ErrReserved))
+	is.True(errors.Is(ErrReserved, ErrFull))
+	is.True(!errors.Is(ErrFull, ErrReserved))
+	is.True(!errors.Is(writeError(syscall.ENOSPC), ErrReserved))
+}
+
 func TestFullLogRefusesPutsAndAcceptsDeletions(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -165,6 +165,8 @@
 		return nil
 	case after <= l.reclaimLimit() && l.freesSpace(group, records, size):
 		return nil
+	case after-size < l.reclaimLimit():
+		return ErrReserved
 	}
 	return ErrFull
 }
--- a/internal/roles/store/diskwatch.go
+++ b/internal/roles/store/diskwatch.go
@@ -4,6 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"liftgauge/internal/recordlog"
 	"liftgauge/replication"
 )
 
@@ -16,7 +19,7 @@
 )
 
 // watchedStorage detects that the disk does not complete writes. A store whose disk stalls cannot record the outcome of a delivery, and
-// must not send more.
+// must not send more. A full log is no stalled disk: it has a reserve for the ends of messages, which free its space.
 type watchedStorage struct {
 	replication.Storage
 	steady func() time.Duration
@@ -25,6 +28,7 @@
 	outstanding  int
 	lastProgress time.Duration // when a write last completed, or was started while none was pending
 	lastRefusal  time.Duration // when a write last failed; 0 after one has succeeded
+	lastNoSpace  time.Duration // when a write was last refused because the space that is left is reserved; 0 for never
 }
 
 func newWatchedStorage(storage replication.Storage, steady func() time.Duration) *watchedStorage {
@@ -56,12 +60,24 @@
 	defer w.mu.Unlock()
 	w.outstanding--
 	w.lastProgress = w.steady()
-	w.lastRefusal = 0
-	if err != nil {
+	switch {
+	case errors.Is(err, recordlog.ErrReserved):
+		w.lastNoSpace = w.lastProgress
+		return // the log still takes what ends messages
+	case err != nil:
 		w.lastRefusal = w.lastProgress
+	default:
+		w.lastRefusal = 0
 	}
 }
 
+// full reports whether writes of new records were refused within refusalExpiry.
+func (w *watchedStorage) full(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastNoSpace != 0 && now-w.lastNoSpace < refusalExpiry
+}
+
 // excludePause does not count a pause of this process as time without progress of the disk.
 func (w *watchedStorage) excludePause(gap time.Duration) {
 	w.mu.Lock()
--- a/internal/roles/store/report.go
+++ b/internal/roles/store/report.go
@@ -31,7 +31,7 @@
 	}
 	s.report.mu.Lock()
 	defer s.report.mu.Unlock()
-	s.report.offers, s.report.partitionsLed, s.report.diskFull = offers, primary, s.log.Full()
+	s.report.offers, s.report.partitionsLed, s.report.diskFull = offers, primary, s.log.Full() || s.storage.full(s.now())
 	s.report.unreachable, s.report.diskStalled = s.unreachable(s.now()), s.diskStalled
 }
 
--- a/internal/roles/store/trouble_test.go
+++ b/internal/roles/store/trouble_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"liftgauge/internal/protocol"
+	"liftgauge/internal/recordlog"
 	"liftgauge/queue"
 	"liftgauge/replication"
 )
@@ -56,6 +57,21 @@
 	is.True(!disk.stalled(now))
 }
 
+// A store whose log has no room for new records must go on ending messages: a stalled one hands nothing out, so no space would come free.
+func TestFullLogIsNotAStalledDisk(t *testing.T) {
+	is := is.New(t)
+	held, now := &heldStorage{}, time.Minute
+	disk := newWatchedStorage(held, func() time.Duration { return now })
+	disk.Append(1, nil, nil)
+	held.done[0](recordlog.ErrReserved)
+	is.True(!disk.stalled(now))
+	is.True(disk.full(now))
+	is.True(!disk.full(now + refusalExpiry))
+	disk.Append(1, nil, nil)
+	held.done[1](recordlog.ErrFull) // not even the end of a message can be recorded
+	is.True(disk.stalled(now))
+}
+
 func TestUnresponsiveStoreIsReported(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, 3)
