Stores without room get no new copies, and the one with room gets them first

After a store machine had lost its disk, control placed the missing copies on the three other stores until their logs were full, where they could never be completed; they stayed learners there, used up the move limit, and the empty store that came back got nothing for half a minute. All new messages were refused meanwhile. Stores reported Heartbeat.DiskFull, and nobody read it.

Control reads it now: a store counts as full until 2 s after its last report. It stays live for placement, keeps its copies and may lead; it gets no new copies and no moves, and a learner on it gives way to one on a store with room, if there is any.

--- a/internal/roles/control/placement.go
+++ b/internal/roles/control/placement.go
@@ -105,13 +105,16 @@
 
 // logStoreFaults logs which stores are currently excluded because of their links or disks.
 func (p *primary) logStoreFaults(now time.Duration) {
-	var stalled []string
+	var stalled, full []string
 	for _, member := range p.model.storeMembers() {
 		if p.placement.faults.isStalled(now, member) {
 			stalled = append(stalled, member)
 		}
+		if p.placement.faults.isFull(now, member) {
+			full = append(full, member)
+		}
 	}
-	p.daemon.logger.Info("control: stores with faults", zap.Strings("stalled", stalled),
+	p.daemon.logger.Info("control: stores with faults", zap.Strings("stalled", stalled), zap.Strings("full", full),
 		zap.Any("apart", p.placement.faults.blockedPairs(now)))
 }
 
@@ -213,6 +216,7 @@
 		if node, ok := live[member]; ok {
 			store.Leaving = node.Leaving
 			store.Stalled = p.placement.faults.isStalled(now, member)
+			store.Full = p.placement.faults.isFull(now, member)
 		} else {
 			store.DownFor = max(now-p.downSince(member), 1)
 		}
--- a/internal/roles/control/storefaults.go
+++ b/internal/roles/control/storefaults.go
@@ -22,7 +22,9 @@
 	unreachableFirstExclusion = 3 * time.Second
 	stalledFirstExclusion     = 500 * time.Millisecond
 	maxExclusion              = 30 * time.Second
-	faultFreeReset            = time.Minute
+	// fullLinger is how long a store counts as full after its last report that it is: it is at its limit, and copies begun there would be given up.
+	fullLinger     = 2 * time.Second
+	faultFreeReset = time.Minute
 )
 
 // exclusion is the time for which a store or a pair of stores is excluded; it doubles with each recurrence.
@@ -56,12 +58,14 @@
 type storeFaults struct {
 	pairs         map[[2]string]*pairFault // by the two members in sorted order
 	stalled       map[string]*exclusion    // by member
+	lastFull      map[string]time.Duration // by member: when it last reported that it is full
 	lastHeartbeat map[string]time.Duration // by member: when its last heartbeat arrived
 	active        int                      // exclusions in force at the last tick
 }
 
 func newStoreFaults() storeFaults {
-	return storeFaults{pairs: make(map[[2]string]*pairFault), stalled: make(map[string]*exclusion), lastHeartbeat: make(map[string]time.Duration)}
+	return storeFaults{pairs: make(map[[2]string]*pairFault), stalled: make(map[string]*exclusion),
+		lastFull: make(map[string]time.Duration), lastHeartbeat: make(map[string]time.Duration)}
 }
 
 // heartbeat records the faults that a store reports, and reports whether partitions have to be planned anew.
@@ -82,15 +86,19 @@
 		}
 		fault.last = now
 	}
+	if h.DiskFull {
+		changed = !t.isFull(now, h.Node.Member)
+		t.lastFull[h.Node.Member] = now
+	}
 	if !h.DiskStalled {
-		return false
+		return changed
 	}
 	fault := t.stalled[h.Node.Member]
 	if fault == nil {
 		fault = &exclusion{}
 		t.stalled[h.Node.Member] = fault
 	}
-	return fault.extend(now, stalledFirstExclusion)
+	return fault.extend(now, stalledFirstExclusion) || changed
 }
 
 // discardReports discards the reports about a store, and its own, that have not led to an exclusion: they were caused by a time in which it was
@@ -130,6 +138,12 @@
 			delete(t.stalled, member)
 		}
 	}
+	for member := range t.lastFull {
+		if !t.isFull(now, member) {
+			delete(t.lastFull, member)
+			changed = true
+		}
+	}
 	changed = changed || active != t.active
 	t.active = active
 	return changed
@@ -162,3 +176,9 @@
 	fault := t.stalled[member]
 	return fault != nil && fault.inForce(now)
 }
+
+// isFull reports whether a store has no room for further copies.
+func (t *storeFaults) isFull(now time.Duration, member string) bool {
+	last, known := t.lastFull[member]
+	return known && now-last < fullLinger
+}
--- a/internal/roles/control/storefaults_test.go
+++ b/internal/roles/control/storefaults_test.go
@@ -124,3 +124,17 @@
 	faults.heartbeat(now, stalled)
 	is.True(!faults.isStalled(now+stalledFirstExclusion, "a"))
 }
+
+func TestFullStoreCountsAsFullForAWhileAfterItsLastReport(t *testing.T) {
+	is := is.New(t)
+	faults := newStoreFaults()
+	h := &protocol.Heartbeat{Node: protocol.Node{Member: "storage-1/disk"}, DiskFull: true}
+	is.True(faults.heartbeat(time.Second, h)) // partitions are planned anew
+	is.True(!faults.heartbeat(2*time.Second, h))
+	is.True(faults.isFull(2*time.Second+fullLinger-1, h.Node.Member))
+	is.True(!faults.isStalled(2*time.Second, h.Node.Member))
+	is.True(!faults.tick(2*time.Second + fullLinger - 1))
+	is.True(faults.tick(2*time.Second + fullLinger))
+	is.True(!faults.isFull(2*time.Second+fullLinger, h.Node.Member))
+	is.True(!faults.tick(3*time.Second + fullLinger))
+}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -199,7 +199,7 @@
 		best, gain := move{}, 0
 		for _, from := range members {
 			for to := range s.stores {
-				if !s.stores[to].eligible() || slices.Contains(members, to) {
+				if !s.stores[to].receives() || slices.Contains(members, to) {
 					continue
 				}
 				g := s.costOf(from, members, none) - s.costOf(to, members, from)
@@ -220,7 +220,7 @@
 
 // loadBalancingMove returns a move to a store that has at least two copies fewer than the source and does not worsen separation.
 func (s *state) loadBalancingMove() (move, bool) {
-	light := s.eligibleBy(func(i int) int { return s.load[i] })
+	light := slices.DeleteFunc(s.eligibleBy(func(i int) int { return s.load[i] }), func(i int) bool { return s.stores[i].Full })
 	if len(light) == 0 {
 		return move{}, false
 	}
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -118,6 +118,11 @@
 func (m *model) checkChange(t *rapid.T, c Change) {
 	p := &m.partitions[c.Partition]
 	old, v := p.view, c.View
+	for _, name := range v.Learners {
+		if m.stores[name].Full && m.live(name) && !contains(old.Members, name) && !contains(old.Learners, name) && !contains(v.Sources, name) {
+			t.Fatalf("partition %d gets a copy on %s, which is full: %+v -> %+v", c.Partition, name, old, v)
+		}
+	}
 	fail := func(why string) {
 		t.Fatalf("partition %d: %s: %+v (offers %v) -> %+v", c.Partition, why, old, p.offered, v)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,8 @@
 	Retiring bool
 	// Stalled is set when the process runs but its disk completes no operations or refuses writes. The store counts as unavailable and may return.
 	Stalled bool
+	// Full is set when the store has no room for further copies. It keeps the copies that it has, and may be their primary.
+	Full bool
 	// Abandoned is set when the operator has given up the disk. While the store is unavailable, the disk counts as lost, regardless of how many
 	// others are lost.
 	Abandoned bool
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -14,7 +14,7 @@
 func (m *model) step(t *rapid.T) {
 	down := func(s *modelStore) bool { return s.DownFor > 0 && !m.superseded(s.Member) }
 	live := func(s *modelStore) bool { return s.DownFor == 0 }
-	switch rapid.SampledFrom([]string{"plan", "plan", "plan", "serve", "serve", "crash", "return", "return", "leave", "disk", "add", "retire", "time"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"plan", "plan", "plan", "serve", "serve", "crash", "return", "return", "leave", "disk", "add", "retire", "time", "full"}).Draw(t, "event") {
 	case "plan":
 		m.plan(t, rapid.Bool().Draw(t, "noBalance"))
 	case "serve":
@@ -44,6 +44,10 @@
 		if ok && CanRetire(m.input(true).Stores, name, m.copies) {
 			m.stores[name].Retiring = true
 		}
+	case "full":
+		if name, ok := m.pick(t, live); ok {
+			m.stores[name].Full = !m.stores[name].Full
+		}
 	case "time":
 		m.advance(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
 	}
@@ -68,7 +72,7 @@
 			if m.stores[name].DownFor > 0 && !m.superseded(name) {
 				m.start(name)
 			}
-			m.stores[name].Leaving = false
+			m.stores[name].Leaving, m.stores[name].Full = false, false
 		}
 		m.advance(RebalanceDelay)
 		m.converge(t)
@@ -94,7 +98,7 @@
 		}
 		for _, name := range m.order {
 			m.stores[name].Abandoned = m.stores[name].DownFor > 0
-			m.stores[name].Leaving = false
+			m.stores[name].Leaving, m.stores[name].Full = false, false
 		}
 		m.advance(RebalanceDelay)
 		m.converge(t)
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -55,7 +55,7 @@
 		switch {
 		case slices.Contains(members, i):
 		case st.live():
-			if slices.Contains(v.learners, i) && !slices.Contains(s.offered[p], i) && s.reachesAll(i, members) {
+			if slices.Contains(v.learners, i) && !slices.Contains(s.offered[p], i) && s.reachesAll(i, members) && !s.stuck(p, i, members) {
 				kept = append(kept, i)
 			}
 		case st.mayReturn():
@@ -74,13 +74,18 @@
 		return nil
 	}
 	for _, i := range v.learners {
-		if s.stores[i].permanent() && !slices.Contains(s.offered[p], i) && s.reachesAll(i, members) {
+		if s.stores[i].permanent() && !s.stores[i].Full && !slices.Contains(s.offered[p], i) && s.reachesAll(i, members) {
 			return []int{i}
 		}
 	}
 	return nil
 }
 
+// stuck reports whether a learner cannot complete its copy because its store is full, while another store has room for one.
+func (s *state) stuck(p, learner int, members []int) bool {
+	return s.stores[learner].Full && s.candidate(p, members, nil, true) != none
+}
+
 // attach adds learners for missing live copies and, within the move limit, for copies that are not permanent.
 func (s *state) attach(p int, members, learners []int) []int {
 	live := s.liveCount(members) + s.liveCount(learners)
@@ -128,12 +133,12 @@
 	return s.bestCandidate(p, members, learners, func(int) bool { return true })
 }
 
-// bestCandidate returns the best live store that has no copy and matches, or none.
+// bestCandidate returns the best live store that has room, has no copy and matches, or none.
 func (s *state) bestCandidate(p int, members, learners []int, matches func(i int) bool) int {
 	permanent := append(s.filter(members, (*store).permanent), s.filter(learners, (*store).permanent)...)
 	best, bestRank, bestCost := none, 0, 0
 	for i := range s.stores {
-		if !s.stores[i].live() || slices.Contains(members, i) || slices.Contains(learners, i) || !matches(i) {
+		if !s.stores[i].live() || s.stores[i].Full || slices.Contains(members, i) || slices.Contains(learners, i) || !matches(i) {
 			continue
 		}
 		rank := s.rank(i)
--- a/placement/state.go
+++ b/placement/state.go
@@ -27,9 +27,12 @@
 // permanent reports whether a copy on the store may stay: the store is live and not retiring.
 func (s *store) permanent() bool { return s.live() && !s.Retiring }
 
-// eligible reports whether the store may be assigned new copies or primaries.
+// eligible reports whether the store may be assigned primaries, and new copies if it has room.
 func (s *store) eligible() bool { return s.permanent() && !s.Leaving }
 
+// receives reports whether the store may be assigned new copies.
+func (s *store) receives() bool { return s.eligible() && !s.Full }
+
 // lost reports whether the disk is known to be lost: the node is live with another disk, or the operator has abandoned it.
 func (s *store) lost() bool { return s.superseded || s.abandoned() }
 
