control: the loss of a link is handled after the send that met it

In operation the control process ends by a panic and is restarted.

Cause: a peer closed a connection right after it was dialed, while several frames waited for it. The first frame failed, which marked the link as down within the loop over the waiting frames; the second was sent on no connection. The same call reported the loss to the replica from within the replica's own send, against the rule that the replica is never called from its own calls.

Change: a failed send posts the loss to the event loop, as the end of the connection does.

--- a/internal/roles/control/links.go
+++ b/internal/roles/control/links.go
@@ -130,8 +130,10 @@
 	}
 }
 
+// notify sends a frame on an open link. A failure is reported by a later event: the caller may be the replica, which changed calls back.
 func (l *links) notify(k *link, kind rpc.Kind, body []byte) {
-	if err := k.conn.Notify(kind, body); err != nil {
-		l.disconnected(k, k.conn)
+	conn := k.conn
+	if err := conn.Notify(kind, body); err != nil {
+		l.post(func() { l.disconnected(k, conn) })
 	}
 }
--- a/internal/roles/control/links_test.go
+++ b/internal/roles/control/links_test.go
@@ -42,3 +42,63 @@
 		cancel()
 	})
 }
+
+// linksOnTest returns links, and a function that runs the next function that they post.
+func linksOnTest(changed func(address string, isUp bool)) (l *links, runPosted func()) {
+	posted := make(chan func(), 16)
+	l = &links{
+		resetBackoff: func(string) {}, post: func(f func()) { posted <- f }, after: func(time.Duration, func()) {},
+		changed: changed, byAddress: make(map[string]*link),
+	}
+	return l, func() { (<-posted)() }
+}
+
+// closedConnection returns a connection that was established and is closed.
+func closedConnection(t *testing.T) *rpc.Conn {
+	t.Helper()
+	is := is.New(t)
+	server, err := rpc.Listen("127.0.0.1:0", nil, rpc.Options{})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := rpc.Dial(t.Context(), server.Addr(), nil, rpc.Options{})
+	is.NoErr(err)
+	conn.Close()
+	return conn
+}
+
+// Guards against a crash of control: a peer closes a connection right after it was dialed, while several frames wait for it.
+func TestQueuedFramesOfAConnectionThatIsClosedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var changes []bool
+	l, runPosted := linksOnTest(func(_ string, isUp bool) { changes = append(changes, isUp) })
+	l.dial = func(context.Context, string) (*rpc.Conn, error) { return closedConnection(t), nil }
+	for range 3 {
+		l.send("a", 1, nil)
+	}
+	runPosted() // the dial has ended
+	for l.isUp("a") {
+		runPosted()
+	}
+	is.Equal(changes, []bool{true, false})
+	is.True(!l.isUp("a"))
+}
+
+// Guards against calls back into the replica while it sends: the loss of a link is reported after the send that met it has returned.
+func TestLossOfALinkIsNotReportedDuringASend(t *testing.T) {
+	is := is.New(t)
+	sending, reportedDuringSend, reported := false, false, false
+	l, runPosted := linksOnTest(func(_ string, isUp bool) {
+		reported = reported || !isUp
+		reportedDuringSend = reportedDuringSend || sending
+	})
+	l.byAddress["a"] = &link{address: "a", conn: closedConnection(t)}
+	sending = true
+	l.sendIfUp("a", 1, nil)
+	sending = false
+	for l.isUp("a") {
+		runPosted()
+	}
+	is.True(!reportedDuringSend)
+	is.True(reported)
+	is.True(!l.isUp("a"))
+}
