cmd/liftgauge: the recovery test prints its processes' logs when it fails

It goes to a file now, which is printed if the test fails; a restart after a panic would show there. The test itself is unchanged.

--- a/cmd/liftgauge/recover_test.go
+++ b/cmd/liftgauge/recover_test.go
@@ -38,6 +38,7 @@
 // osProcess is a role that runs as a process of the operating system, on its own loopback address. It is restarted when it exits.
 type osProcess struct {
 	role, name, ip, data, file string
+	output                     *os.File // of all its runs
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -68,6 +69,7 @@
 	for i, role := range []string{"control", "control", "control", "store", "store", "dispatcher"} {
 		p := &osProcess{role: role, name: fmt.Sprintf("%s-%d", role, i), ip: fmt.Sprintf("127.19.1.%d", 10+i)}
 		p.file = filepath.Join(t.TempDir(), p.name+".toml")
+		p.output = createOutput(t, p.name)
 		if role != "dispatcher" {
 			p.data = t.TempDir()
 		}
@@ -83,11 +85,31 @@
 	t.Cleanup(func() {
 		for _, p := range s.processes {
 			p.kill(true)
+			p.closeOutput(t)
 		}
 	})
 	return s
 }
 
+// createOutput creates the file that takes a process's log.
+func createOutput(t *testing.T, name string) *os.File {
+	t.Helper()
+	file, err := os.OpenFile(filepath.Join(t.TempDir(), name+".log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// closeOutput prints what the process wrote if the test has failed.
+func (p *osProcess) closeOutput(t *testing.T) {
+	if t.Failed() {
+		written, err := os.ReadFile(p.output.Name())
+		t.Logf("output of %s (%v):\n%s", p.name, err, written)
+	}
+	_ = p.output.Close()
+}
+
 func (s *osSystem) address(p *osProcess, port int) string {
 	return net.JoinHostPort(p.ip, strconv.Itoa(s.ports[port]))
 }
@@ -116,6 +138,7 @@
 func (s *osSystem) start(p *osProcess) {
 	command := exec.Command(os.Args[0], p.role)
 	command.Env = append(os.Environ(), runMainVariable+"=1", nodeconfig.EnvironmentVariable+"="+p.file)
+	command.Stdout, command.Stderr = p.output, p.output
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if err := command.Start(); err != nil {
