store: refuse a message when a backup of its partition is nearly full

In a trial on the code before, a message of 255 KiB was sent to a partition whose backup had no room for it and whose primary had: the end of an earlier message of the partition was not recorded in the 20 s that were watched.

Cause: a primary looked at its own log alone. All writes of a partition complete in order, and one that a member cannot take holds up all later ones, among them the ends of messages, which free space.

Change: lease replies tell whether less than one generation is left in the grantor's log (an older process reads and sends none, which counts as room). A primary refuses new messages, with the pause of a full log, when its own log or that of a store that its writes wait for is nearly full.

Measured: TestMessageIsRefusedWhenABackupIsNearlyFull failed without the check (accepted), passed five times with it; packages protocol, recordlog and roles/store pass. What arrives between two lease replies beyond one generation can still be accepted too much. Capacity for new messages falls by one generation (1 to 8 MiB) for each store.

--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -30,8 +30,9 @@
 
 // LeaseReply answers a LeaseRequest.
 type LeaseReply struct {
-	Granted  bool
-	Sequence uint64
+	Granted    bool
+	Sequence   uint64
+	NearlyFull bool // the grantor's disk has little room left for new messages
 }
 
 // Header is one HTTP header field of a message, as received.
--- a/internal/protocol/message_codec.go
+++ b/internal/protocol/message_codec.go
@@ -30,6 +30,7 @@
 func (m *LeaseReply) fields(c *coder) {
 	c.bool(&m.Granted)
 	c.uint64(&m.Sequence)
+	c.bool(&m.NearlyFull)
 }
 
 // Append implements Message.
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -220,6 +220,17 @@
 	return l.usage+l.queuedBytes >= l.putLimit()
 }
 
+// NearlyFull reports whether less than the length of a generation is left before appends that need more space are refused. Whoever stops
+// adding records then leaves that room to others, such as copies of records that were accepted elsewhere.
+func (l *Log) NearlyFull() bool {
+	if l.options.DiskBytes <= 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usage+l.queuedBytes >= l.putLimit()-l.options.GenerationBytes
+}
+
 // Groups returns the groups that have records, in order.
 func (l *Log) Groups() []uint32 {
 	l.mu.Lock()
--- a/internal/roles/store/accept.go
+++ b/internal/roles/store/accept.go
@@ -75,7 +75,7 @@
 	case s.diskStalled || s.configuration == nil || p.writesSlow(s.now()) || s.pendingBytes+len(m.Body) > maxPendingBytes:
 		replyAccept(reply, protocol.AcceptFull, busyRetryAfter)
 		return
-	case s.log.Full():
+	case s.log.NearlyFull() || p.memberNearlyFull():
 		replyAccept(reply, protocol.AcceptFull, fullRetryAfter)
 		return
 	}
--- a/internal/roles/store/peer.go
+++ b/internal/roles/store/peer.go
@@ -32,6 +32,7 @@
 	leasePending     bool
 	lastAnswer       time.Duration // when the peer last answered, or was first needed
 	sequence         uint64
+	nearlyFull       bool // its log has little room left, by its last answer
 }
 
 func (s *store) peer(member string) *peer {
@@ -231,7 +232,7 @@
 	if err != nil || reply.Decode(answer) != nil {
 		return
 	}
-	peer.lastAnswer = s.now()
+	peer.lastAnswer, peer.nearlyFull = s.now(), reply.NearlyFull
 	if !reply.Granted { // one of the two has not received the other's partition table yet
 		if peer.needed {
 			time.AfterFunc(leaseRetryDelay, func() { s.loop.post(func() { s.requestLease(s.now(), peer) }) })
@@ -269,7 +270,7 @@
 		reply(nil, rpc.Errorf(protocol.CodeInvalid, "%v", err))
 		return
 	}
-	answer := protocol.LeaseReply{Sequence: request.Sequence}
+	answer := protocol.LeaseReply{Sequence: request.Sequence, NearlyFull: s.log.NearlyFull()}
 	if request.To == s.member {
 		s.grants.recordTable(&request)
 	}
--- a/internal/roles/store/trouble_test.go
+++ b/internal/roles/store/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,6 +73,42 @@
 	is.True(disk.stalled(now))
 }
 
+// Guards against a partition whose writes wait for a backup that has no room: the end of an earlier message could not be recorded either.
+func TestMessageIsRefusedWhenABackupIsNearlyFull(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 2)
+	first, second, d := c.stores[0], c.stores[1], c.dispatcher
+	is.Equal(d.accept(first, message("0000-earlier", "plain", "")), protocol.AcceptStored)
+	earlier := d.next()
+
+	fillLog(t, second)
+	first.await(func(s *store) bool { return s.peer(second.member()).nearlyFull })
+	is.Equal(d.accept(first, message("0000-refused", "plain", "")), protocol.AcceptFull)
+	is.NoErr(d.result(first, &earlier, protocol.OutcomeSucceeded))
+
+	second.on(func(s *store) { s.log.Drop(fillerGroup, nil) })
+	first.await(func(s *store) bool { return !s.peer(second.member()).nearlyFull })
+	is.Equal(d.accept(first, message("0000-accepted", "plain", "")), protocol.AcceptStored)
+}
+
+// fillerGroup is a group of records that belongs to no partition of these tests.
+const fillerGroup = groupBase + 1000
+
+// fillLog writes records to a store's log until it takes no more.
+func fillLog(t *testing.T, s *testStore) {
+	t.Helper()
+	is := is.New(t)
+	written := make(chan error, 1)
+	for i := 0; ; i++ {
+		record := replication.Record{Key: fmt.Sprint(i), Version: uint64(i + 1), Value: make([]byte, 256<<10)}
+		s.store.log.Append(fillerGroup, []replication.Record{record}, func(err error) { written <- err })
+		if err := <-written; err != nil {
+			is.True(errors.Is(err, recordlog.ErrReserved))
+			return
+		}
+	}
+}
+
 func TestUnresponsiveStoreIsReported(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, 3)
