test.sh: deal the tests of the model to several processes without -race too

Cause of the single time-out of sim/system: processor time. Forced: with GOMAXPROCS=1 the package timed out at 5 minutes, 3 s into a part of TestStoreFaults, the test that ran then too; with two processors it passed in 252 s.

Change: the tests are dealt to three processes, as under the race detector to seven. All tests run as before, and the limit of 5 minutes stays.

--- a/test.sh
+++ b/test.sh
@@ -105,22 +105,24 @@
 go vet -tags debug ./...
 go tool staticcheck ./...
 bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
-# Under the race detector this package runs on one processor: Go 1.26 gives all timers of a synctest bubble one race context, and two
-# threads that run timers of a bubble at once wreck it (SIGSEGV in StackDepotBase::Put). All its tests run, and races are found as before:
-# the detector goes by the order of synchronization, not by what runs at once. The tests are dealt to several processes.
-one_processor=liftgauge/sim/system
-one_processor_shards=7
-race_on_one_processor() { # -skip of the known red ones follows, if there are any
-  local names=() shard i pattern pids=() failed=0
-  mapfile -t names < <(go test -race -list . "$one_processor" | grep -E '^(Test|Fuzz|Example)')
-  [ "${#names[@]}" -gt 0 ] || { echo "no tests are listed for $one_processor" >&2; return 1; }
-  for ((shard = 0; shard < one_processor_shards; shard++)); do
+# The tests of this package are dealt to several processes: most of its time only one of its tests runs at once.
+#
+# Under the race detector it runs on one processor: Go 1.26 gives all timers of a synctest bubble one race context, and two threads that
+# run timers of a bubble at once wreck it (SIGSEGV in StackDepotBase::Put). All its tests run, and races are found as before: the
+# detector goes by the order of synchronization, not by what runs at once.
+dealt=liftgauge/sim/system
+dealt_tests() { # so many processes; flags of go test follow
+  local shards=$1 names=() shard i pattern pids=() failed=0
+  shift
+  mapfile -t names < <(go test "$@" -list . "$dealt" | grep -E '^(Test|Fuzz|Example)')
+  [ "${#names[@]}" -gt 0 ] || { echo "no tests are listed for $dealt" >&2; return 1; }
+  for ((shard = 0; shard < shards; shard++)); do
     pattern=
-    for ((i = shard; i < ${#names[@]}; i += one_processor_shards)); do
+    for ((i = shard; i < ${#names[@]}; i += shards)); do
       pattern+="${pattern:+|}^${names[i]}\$"
     done
     [ -n "$pattern" ] || continue
-    go test -timeout 15m -race -cpu 1 -run "$pattern" "$@" "$one_processor" &
+    go test "$@" -run "$pattern" "$dealt" &
     pids+=($!)
   done
   for i in "${pids[@]}"; do
@@ -135,19 +137,17 @@
   fi
   local -n passed_over=$list
   for at in $(go list ./...); do
-    if [ "${1:-}" = -race ] && [ "$at" = "$one_processor" ]; then
-      continue
-    fi
+    [ "$at" != "$dealt" ] || continue
     [ -n "${passed_over[$at]:-}" ] || others+=("$at")
   done
   go test -timeout 5m "$@" "${others[@]}"
   if [ "${1:-}" = -race ]; then
-    race_on_one_processor ${passed_over[$one_processor]:+-skip "${passed_over[$one_processor]}"}
+    dealt_tests 7 -timeout 15m "$@" -cpu 1 ${passed_over[$dealt]:+-skip "${passed_over[$dealt]}"}
+  else
+    dealt_tests 3 -timeout 5m "$@" ${passed_over[$dealt]:+-skip "${passed_over[$dealt]}"}
   fi
   for at in "${!passed_over[@]}"; do
-    if [ "${1:-}" = -race ] && [ "$at" = "$one_processor" ]; then
-      continue
-    fi
+    [ "$at" != "$dealt" ] || continue
     go test -timeout 5m "$@" -skip "${passed_over[$at]}" "$at"
   done
 }
