store: warn when a loss could not be repaired on the remaining disks

Change: a store warns once when its live records exceed the share that the rest can take over after the tolerated losses of machines, zones or regions (0.75 for four stores and F = 1), and says when that is over.

Measured: packages recordlog and roles/store pass.

--- a/internal/recordlog/compact.go
+++ b/internal/recordlog/compact.go
@@ -170,10 +170,7 @@
 	if oldest.liveRecords == 0 || oldest.passesWithoutCopy >= maxPassesWithoutCopy {
 		return nil
 	}
-	var live int64
-	for _, g := range l.generations {
-		live += g.liveBytes
-	}
+	live := l.liveBytes()
 	garbage, unit, limit := l.usage-live, l.options.GenerationBytes, l.options.DiskBytes
 	mostlyGarbage := garbage > live+2*unit
 	overHalfFull := limit > 0 && l.usage > limit/2 && garbage > max(unit, live/4)
@@ -185,6 +182,14 @@
 	return nil
 }
 
+// liveBytes returns the size of the records that the index refers to. The caller holds mu.
+func (l *Log) liveBytes() (live int64) {
+	for _, g := range l.generations {
+		live += g.liveBytes
+	}
+	return live
+}
+
 // removable returns the floor that excludes the oldest generations without live records, or 0 if there are none.
 func (l *Log) removable() (floor uint64) {
 	l.mu.Lock()
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -210,6 +210,16 @@
 	return l.usage + l.queuedBytes, max(l.options.DiskBytes, 0)
 }
 
+// Live returns the bytes of the records that are not deleted or replaced, and how many the log takes, which is 0 for no limit.
+func (l *Log) Live() (bytes, capacity int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.options.DiskBytes > 0 {
+		capacity = l.putLimit()
+	}
+	return l.liveBytes(), capacity
+}
+
 // Full reports whether appends that need more space are currently refused.
 func (l *Log) Full() bool {
 	if l.options.DiskBytes <= 0 {
--- a/internal/roles/store/store.go
+++ b/internal/roles/store/store.go
@@ -58,6 +58,7 @@
 	report   report
 	shutdown shutdown
 	losses   lossLog
+	repairs  repairWatch
 
 	afterStep func()
 }
@@ -196,5 +197,6 @@
 	}
 	s.retryDrops()
 	s.writeReport()
+	s.repairs.check(s)
 	s.advanceShutdown(now)
 }
