--- a/lab/mutants/system.go
+++ b/lab/mutants/system.go
@@ -6,7 +6,7 @@
 const SystemPackage = "./sim/system"
 
 // System lists the mutants of the ingest and dispatch service.
-var System = slices.Concat(messageMutants, recoveryMutants, clusterTimeMutants, workerListMutants, deliveryMutants)
+var System = slices.Concat(messageMutants, recoveryMutants, clusterTimeMutants, workerListMutants, deliveryMutants, fullDiskMutants)
 
 // messageMutants break the guarantees of messages, views and partition tables.
 var messageMutants = []Mutant{
