--- a/sim/system/clients.go
+++ b/sim/system/clients.go
@@ -27,7 +27,9 @@
 	Every time.Duration // between messages
 	Keys  int           // number of ordering keys that messages are spread over, for a Fifo route
 	Bytes int           // of padding in each body; at least 200
-	Delay time.Duration // X-Delay-Ms of every fourth message
+	Delay time.Duration // X-Delay-Ms of every fourth message, or of all
+	// AllDelayed gives all messages the delay.
+	AllDelayed bool
 }
 
 // Send sends traffic for a span. It returns when every client has a response or has given up.
@@ -42,7 +44,7 @@
 		if t.Keys > 0 {
 			c.key = fmt.Sprintf("%s-key-%d", name, random.IntN(t.Keys))
 		}
-		if t.Delay > 0 && i%4 == 3 && t.Keys == 0 {
+		if t.Delay > 0 && (i%4 == 3 || t.AllDelayed) && t.Keys == 0 {
 			c.delay = t.Delay
 		}
 		sending++
--- a/sim/system/world.go
+++ b/sim/system/world.go
@@ -51,6 +51,7 @@
 	Machines      int    // FaultTolerance.Machines; 1 by default, negative for none
 	Pages         int    // of the platform's list; 1 by default
 	Control       int    // control processes; by default 2*Machines+1, at least 3, so that a majority survives the loss of Machines of them
+	StoreDiskMb   int    // Limits.DiskMb of the stores; 64 by default
 	Net           virtualnet.Options
 	Disk          virtualdisk.Options
 	Logger        *zap.Logger
@@ -213,6 +214,8 @@
 	switch p.Role {
 	case protocol.RoleControl:
 		s.BindAddresses.ControlPlane = hostPort(p.IP, controlPort)
+	case protocol.RoleStore:
+		s.Limits.DiskMb = cmp.Or(w.options.StoreDiskMb, s.Limits.DiskMb)
 	case protocol.RoleDispatcher:
 		s.BindAddresses.Frontend, s.BindAddresses.Readiness = hostPort(p.IP, frontendPort), hostPort(p.IP, readinessPort)
 	}
