store: refuse what does not fit, not everything, when a log is nearly full

Cause: refused every message of a partition while a store that must write it had less than a generation of its log left, though small ones fit.

Change: lease replies tell the bytes that are left, once they are less than a generation. Each store uses an equal part of them until the next reply, and refuses only what is larger. The own log is asked for the size too; a message larger than the room failed as of unknown outcome before.

--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -32,7 +32,8 @@
 type LeaseReply struct {
 	Granted    bool
 	Sequence   uint64
-	NearlyFull bool // the grantor's disk has little room left for new messages
+	NearlyFull bool   // the grantor's disk has little room left
+	Room       uint64 // that room in bytes, if NearlyFull
 }
 
 // Header is one HTTP header field of a message, as received.
--- a/internal/protocol/message_codec.go
+++ b/internal/protocol/message_codec.go
@@ -31,6 +31,7 @@
 	c.bool(&m.Granted)
 	c.uint64(&m.Sequence)
 	c.bool(&m.NearlyFull)
+	c.uint64(&m.Room)
 }
 
 // Append implements Message.
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -1,6 +1,7 @@
 package recordlog
 
 import (
+	"math"
 	"slices"
 	"sync"
 
@@ -230,15 +231,16 @@
 	return l.usage+l.queuedBytes >= l.putLimit()
 }
 
-// NearlyFull reports whether less than the length of a generation is left before appends that need more space are refused. Whoever stops
-// adding records then leaves that room to others, such as copies of records that were accepted elsewhere.
-func (l *Log) NearlyFull() bool {
+// Room returns the bytes that are left before appends that need more space are refused. The log is nearly full if that is less than the
+// length of a generation.
+func (l *Log) Room() (bytes int64, nearlyFull bool) {
 	if l.options.DiskBytes <= 0 {
-		return false
+		return math.MaxInt64, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.usage+l.queuedBytes >= l.putLimit()-l.options.GenerationBytes
+	bytes = max(l.putLimit()-l.usage-l.queuedBytes, 0)
+	return bytes, bytes < l.options.GenerationBytes
 }
 
 // Groups returns the groups that have records, in order.
--- a/internal/roles/store/accept.go
+++ b/internal/roles/store/accept.go
@@ -75,7 +75,7 @@
 	case s.diskStalled || s.configuration == nil || p.writesSlow(s.now()) || s.pendingBytes+len(m.Body) > maxPendingBytes:
 		replyAccept(reply, protocol.AcceptFull, busyRetryAfter)
 		return
-	case s.log.NearlyFull() || p.memberNearlyFull():
+	case !s.hasRoom(p, m):
 		replyAccept(reply, protocol.AcceptFull, fullRetryAfter)
 		return
 	}
@@ -98,6 +98,7 @@
 		{Key: bodyKey(id), Value: bodyRecord(m)},
 		{Key: stateKey(id), Value: state.append(nil)},
 	}
+	p.useRoom(m)
 	accept := &pendingAccept{replies: []replyFunc{reply}}
 	p.pending[id] = accept
 	s.pendingBytes += size
--- a/internal/roles/store/partition.go
+++ b/internal/roles/store/partition.go
@@ -234,19 +234,6 @@
 	return until
 }
 
-// memberNearlyFull reports whether a store that all writes of the partition wait for has little room left. A write that it cannot take
-// would delay all later ones, and among them the ends of messages, which free space.
-func (p *partition) memberNearlyFull() bool {
-	for _, members := range [][]string{p.replica.View().Members, p.offers} {
-		for _, member := range members {
-			if member != p.store.member && p.store.peer(member).nearlyFull {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // mayDeliver reports whether deliveries may be sent now.
 func (p *partition) mayDeliver(now time.Duration) bool {
 	if !p.mayAct(now) || p.store.diskStalled {
--- a/internal/roles/store/peer.go
+++ b/internal/roles/store/peer.go
@@ -32,7 +32,8 @@
 	leasePending     bool
 	lastAnswer       time.Duration // when the peer last answered, or was first needed
 	sequence         uint64
-	nearlyFull       bool // its log has little room left, by its last answer
+	nearlyFull       bool  // its log has little room left, by its last answer
+	room             int64 // if nearlyFull: bytes that this store may add to the peer's log until its next answer
 }
 
 func (s *store) peer(member string) *peer {
@@ -232,7 +233,8 @@
 	if err != nil || reply.Decode(answer) != nil {
 		return
 	}
-	peer.lastAnswer, peer.nearlyFull = s.now(), reply.NearlyFull
+	peer.lastAnswer = s.now()
+	s.takeRoom(peer, &reply)
 	if !reply.Granted { // one of the two has not received the other's partition table yet
 		if peer.needed {
 			time.AfterFunc(leaseRetryDelay, func() { s.loop.post(func() { s.requestLease(s.now(), peer) }) })
@@ -270,7 +272,7 @@
 		reply(nil, rpc.Errorf(protocol.CodeInvalid, "%v", err))
 		return
 	}
-	answer := protocol.LeaseReply{Sequence: request.Sequence, NearlyFull: s.log.NearlyFull()}
+	answer := s.leaseReply(request.Sequence)
 	if request.To == s.member {
 		s.grants.recordTable(&request)
 	}
