--- a/internal/roles/store/trouble_test.go
+++ b/internal/roles/store/trouble_test.go
@@ -82,7 +82,9 @@
 	earlier := d.next()
 
 	fillLog(t, second)
-	first.await(func(s *store) bool { return s.peer(second.member()).nearlyFull && s.peer(second.member()).room < fillerBytes })
+	first.await(func(s *store) bool {
+		return s.peer(second.member()).nearlyFull && s.peer(second.member()).room < fillerBytes
+	})
 	large := message("0000-large", "plain", "")
 	large.Body = make([]byte, fillerBytes)
 	fits := true
