control: a test's cluster draws two different ports

Cause: the port of the internal address was freed before that of ControlPlane was drawn, so both could be the same.

Change: both listeners are held until both ports are known.

--- a/internal/roles/control/cluster_test.go
+++ b/internal/roles/control/cluster_test.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	c := &cluster{t: t, ctx: ctx, network: testNetwork.Add(1), machines: make(map[string]*machine), bootstrap: true}
-	c.ports = [2]int{c.freePort(), c.freePort()}
+	c.ports = c.freePorts()
 	for i := 1; i <= min(controls, 3); i++ {
 		c.seeds = append(c.seeds, net.JoinHostPort(c.ip(i), strconv.Itoa(c.ports[1])))
 	}
@@ -73,14 +73,17 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+c.network/250, 1+c.network%250, host)
 }
 
-// freePort returns a port that was free on the cluster's network when it was checked.
-func (c *cluster) freePort() int {
-	l, err := net.Listen("tcp", c.ip(1)+":0")
-	if err != nil {
-		c.t.Fatal(err)
+// freePorts returns different ports that were free on the cluster's network when they were checked.
+func (c *cluster) freePorts() (ports [2]int) {
+	for i := range ports {
+		l, err := net.Listen("tcp", c.ip(1)+":0")
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		defer l.Close() // at the end, since a port that is free again may be drawn twice
+		ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return ports
 }
 
 // settings returns the settings of a machine of the cluster.
